--- /dev/null
+++ b/burdockhill/base.h
@@ -0,0 +1,15 @@
+#ifndef BURDOCKHILL_BASE_H_
+#define BURDOCKHILL_BASE_H_
+
+// Module base: ids, units, time, errors and randomness. Everything else in the
+// project builds on these; nothing here does I/O.
+
+#include "burdockhill/src/base/address.h"     // IWYU pragma: export
+#include "burdockhill/src/base/clock.h"       // IWYU pragma: export
+#include "burdockhill/src/base/error_kind.h"  // IWYU pragma: export
+#include "burdockhill/src/base/id.h"          // IWYU pragma: export
+#include "burdockhill/src/base/random.h"      // IWYU pragma: export
+#include "burdockhill/src/base/table.h"       // IWYU pragma: export
+#include "burdockhill/src/base/units.h"       // IWYU pragma: export
+
+#endif  // BURDOCKHILL_BASE_H_
--- /dev/null
+++ b/burdockhill/src/adapters/engine_client.cc
@@ -0,0 +1,265 @@
+#include "burdockhill/src/adapters/engine_client.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace burdockhill {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kCancelTimeout{1};
+constexpr std::chrono::seconds kStateTimeout{2};
+constexpr std::chrono::seconds kPrefillTimeout{120};
+constexpr int kHttpOk = 200;
+constexpr int kHttpGone = 410;
+constexpr int kHttpServiceUnavailable = 503;
+constexpr std::string_view kDataField = "data: ";
+
+std::string AddressText(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+std::optional<EngineState> ReadState(const std::string& body) {
+  const json text = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  try {
+    EngineState state;
+    state.boot = text.at("boot").get<uint64_t>();
+    state.role = text.at("role") == "prefill" ? EngineRole::kPrefill
+                                              : EngineRole::kDecode;
+    state.slots = text.at("slots").get<uint32_t>();
+    state.pieces = Pieces(text.at("pieces").get<int64_t>());
+    state.piece_size = Tokens(text.at("piece_tokens").get<int64_t>());
+    state.prefill_rate = text.at("prefill_rate").get<int64_t>();
+    state.requests = text.at("requests").get<std::vector<std::string>>();
+    if (state.piece_size.Value() <= 0) return std::nullopt;
+    return state;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+EngineClient::EngineClient(HttpClient* client, const Settings& settings)
+    : m_client(client), m_plain(settings.plain) {
+  for (const BackEnd& back_end : settings.back_ends) {
+    m_addresses[back_end.name] = *ParseAddress(back_end.address);
+  }
+}
+
+void EngineClient::Prefill(const EngineName& engine,
+                           const PrefillOrder& order) {
+  const json body = {
+      {"id", EngineRequestId(order.attempt)},
+      {"priority", static_cast<int>(order.request_class)},
+      {"prompt", order.text},
+      {"parameters", json::parse(order.parameters, nullptr, false)}};
+  ClientRequest request = Post(engine, "/v1/prefill", body.dump());
+  request.timeout = kPrefillTimeout;
+  const AttemptId attempt = order.attempt;
+  const std::string source = AddressText(m_addresses.at(engine));
+  m_calls.FindOrInsert(attempt) =
+      FetchWhole(m_client, std::move(request),
+                 [this, attempt, source](CallEnd end, int status,
+                                         const std::string& answer) {
+                   m_calls.Erase(attempt);
+                   OnPrefillAnswer(attempt, source, end, status, answer);
+                 });
+}
+
+void EngineClient::OnPrefillAnswer(const AttemptId& attempt,
+                                   const std::string& source, CallEnd end,
+                                   int status, const std::string& body) {
+  if (end != CallEnd::kComplete || status != kHttpOk) {
+    return Fail(attempt, end, status);
+  }
+  const json answer = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  try {
+    const auto handle = answer.at("kv_handle").get<std::string>();
+    const Tokens prompt(answer.at("prompt_tokens").get<int64_t>());
+    const Tokens reused(answer.at("reused_tokens").get<int64_t>());
+    m_events->OnPrefilled(attempt, handle, source, prompt, reused);
+  } catch (const json::exception&) {
+    m_events->OnOrderFailed(attempt, ErrorKind::kUpstreamFailed, true);
+  }
+}
+
+void EngineClient::Decode(const EngineName& engine, const DecodeOrder& order) {
+  const json body = {
+      {"id", EngineRequestId(order.attempt)},
+      {"priority", static_cast<int>(order.request_class)},
+      {"kv_handle", order.kv_handle},
+      {"kv_source", order.kv_source},
+      {"max_tokens", order.max_output.Value()},
+      {"first_offset", order.first_offset},
+      {"parameters", json::parse(order.parameters, nullptr, false)}};
+  struct Stream {
+    int status = 0;
+    std::string partial;
+  };
+  auto stream = std::make_shared<Stream>();
+  const AttemptId attempt = order.attempt;
+  ClientEvents events;
+  events.on_head = [stream](int status, const std::string& /*type*/) {
+    stream->status = status;
+  };
+  events.on_data = [this, attempt, stream](std::string_view data) {
+    if (stream->status != kHttpOk) return;
+    OnStreamData(attempt, &stream->partial, data);
+  };
+  events.on_end = [this, attempt, stream](CallEnd end) {
+    // A finished stream has been reported; for it this is a no-op.
+    if (m_calls.Find(attempt) == nullptr) return;
+    m_calls.Erase(attempt);
+    Fail(attempt, end == CallEnd::kComplete ? CallEnd::kBroken : end,
+         stream->status);
+  };
+  m_calls.FindOrInsert(attempt) = m_client->Start(
+      Post(engine, "/v1/decode", body.dump()), std::move(events));
+}
+
+void EngineClient::OnStreamData(const AttemptId& attempt, std::string* partial,
+                                std::string_view data) {
+  partial->append(data);
+  size_t start = 0;
+  for (;;) {
+    const size_t end = partial->find('\n', start);
+    if (end == std::string::npos) break;
+    OnStreamLine(attempt,
+                 std::string_view(*partial).substr(start, end - start));
+    start = end + 1;
+  }
+  partial->erase(0, start);
+}
+
+void EngineClient::OnStreamLine(const AttemptId& attempt,
+                                std::string_view line) {
+  if (!line.starts_with(kDataField)) return;
+  line.remove_prefix(kDataField.size());
+  const json event = json::parse(line, nullptr, /*allow_exceptions=*/false);
+  try {
+    const auto offset = event.at("offset").get<uint64_t>();
+    const auto tokens = event.at("tokens").get<uint32_t>();
+    const auto text = event.at("text").get<std::string>();
+    const auto finish = event.value("finish_reason", std::string());
+    if (!finish.empty()) m_calls.Erase(attempt);
+    m_events->OnTokens(attempt, offset, tokens, text, finish);
+  } catch (const json::exception&) {
+    // A damaged event leaves a gap in the offsets, so what follows is dropped
+    // and the attempt fails when the stream ends without its last event.
+  }
+}
+
+void EngineClient::Cancel(const EngineName& engine, const AttemptId& attempt) {
+  if (const ClientCallId* call = m_calls.Find(attempt)) {
+    m_client->Cancel(*call);
+    m_calls.Erase(attempt);
+  }
+  const json body = {{"id", EngineRequestId(attempt)}};
+  ClientRequest request = Post(engine, "/v1/cancel", body.dump());
+  request.timeout = kCancelTimeout;
+  FetchWhole(
+      m_client, std::move(request),
+      [this, attempt](CallEnd end, int status, const std::string& /*body*/) {
+        // Not confirmed otherwise; the core asks again.
+        if (end == CallEnd::kComplete && status == kHttpOk) {
+          m_events->OnCancelled(attempt);
+        }
+      });
+}
+
+void EngineClient::CancelStray(const EngineName& engine,
+                               const std::string& request_id) {
+  const json body = {{"id", request_id}};
+  ClientRequest request = Post(engine, "/v1/cancel", body.dump());
+  request.timeout = kCancelTimeout;
+  FetchWhole(m_client, std::move(request),
+             [](CallEnd, int, const std::string&) {});
+}
+
+void EngineClient::PollState(const EngineName& engine) {
+  ClientRequest request;
+  request.address = m_addresses.at(engine);
+  request.path = m_plain ? "/healthz" : "/v1/state";
+  request.timeout = kStateTimeout;
+  FetchWhole(m_client, std::move(request),
+             [this, engine](CallEnd end, int status, const std::string& body) {
+               if (end != CallEnd::kComplete || status != kHttpOk) {
+                 m_events->OnState(engine, std::nullopt);
+               } else if (m_plain) {
+                 m_events->OnState(engine, EngineState());
+               } else {
+                 m_events->OnState(engine, ReadState(body));
+               }
+             });
+}
+
+void EngineClient::Call(const EngineName& engine, const CallService& call) {
+  ClientRequest request;
+  request.address = m_addresses.at(engine);
+  request.method = call.method;
+  request.path = call.path;
+  request.content_type = call.content_type;
+  request.body = call.body;
+  if (!call.idempotency_key.empty()) {
+    request.headers.emplace_back("idempotency-key", call.idempotency_key);
+  }
+  request.timeout =
+      std::max(std::chrono::seconds(1),
+               std::chrono::duration_cast<std::chrono::seconds>(call.timeout));
+  const AttemptId attempt = call.attempt;
+  struct Answer {
+    int status = 0;
+    std::string content_type;
+    std::string body;
+  };
+  auto answer = std::make_shared<Answer>();
+  ClientEvents events;
+  events.on_head = [answer](int status, const std::string& content_type) {
+    answer->status = status;
+    answer->content_type = content_type;
+  };
+  events.on_data = [answer](std::string_view data) { answer->body += data; };
+  events.on_end = [this, attempt, answer](CallEnd end) {
+    m_calls.Erase(attempt);
+    if (end != CallEnd::kComplete) {
+      return m_events->OnOrderFailed(attempt, ErrorKind::kUpstreamFailed,
+                                     end != CallEnd::kNotConnected);
+    }
+    m_events->OnCallAnswered(attempt, answer->status, answer->content_type,
+                             answer->body);
+  };
+  m_calls.FindOrInsert(attempt) =
+      m_client->Start(std::move(request), std::move(events));
+}
+
+ClientRequest EngineClient::Post(const EngineName& engine,
+                                 const std::string& path,
+                                 std::string body) const {
+  ClientRequest request;
+  request.address = m_addresses.at(engine);
+  request.method = "POST";
+  request.path = path;
+  request.body = std::move(body);
+  return request;
+}
+
+void EngineClient::Fail(const AttemptId& attempt, CallEnd end, int status) {
+  // An engine that answers with an error has not run the order.
+  if (status == kHttpGone) {
+    return m_events->OnOrderFailed(attempt, ErrorKind::kKvGone, false);
+  }
+  if (status == kHttpServiceUnavailable) {
+    return m_events->OnOrderFailed(attempt, ErrorKind::kOverloaded, false);
+  }
+  if (status != 0 && status != kHttpOk) {
+    return m_events->OnOrderFailed(attempt, ErrorKind::kUpstreamRefused, false);
+  }
+  m_events->OnOrderFailed(attempt, ErrorKind::kUpstreamFailed,
+                          end != CallEnd::kNotConnected);
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/adapters/engine_client.h
@@ -0,0 +1,52 @@
+#ifndef BURDOCKHILL_SRC_ADAPTERS_ENGINE_CLIENT_H_
+#define BURDOCKHILL_SRC_ADAPTERS_ENGINE_CLIENT_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "burdockhill/src/agent/engine_link.h"
+#include "burdockhill/src/base/table.h"
+#include "burdockhill/src/resources/settings.h"
+#include "burdockhill/src/transport/http_client.h"
+
+namespace burdockhill {
+
+// The engines, or the plain service, of one upstream over HTTP. See
+// docs/engine-api.md.
+class EngineClient : public EngineLink {
+ public:
+  EngineClient(HttpClient* client, const Settings& settings);
+
+  // Has to be called before the first order.
+  void SetEvents(EngineEvents* events) { m_events = events; }
+
+  void Prefill(const EngineName& engine, const PrefillOrder& order) override;
+  void Decode(const EngineName& engine, const DecodeOrder& order) override;
+  void Cancel(const EngineName& engine, const AttemptId& attempt) override;
+  void CancelStray(const EngineName& engine,
+                   const std::string& request) override;
+  void PollState(const EngineName& engine) override;
+  void Call(const EngineName& engine, const CallService& call) override;
+
+ private:
+  ClientRequest Post(const EngineName& engine, const std::string& path,
+                     std::string body) const;
+  void OnPrefillAnswer(const AttemptId& attempt, const std::string& source,
+                       CallEnd end, int status, const std::string& body);
+  void OnStreamData(const AttemptId& attempt, std::string* partial,
+                    std::string_view data);
+  void OnStreamLine(const AttemptId& attempt, std::string_view line);
+  // Reports an order that ended without result.
+  void Fail(const AttemptId& attempt, CallEnd end, int status);
+
+  HttpClient* m_client;
+  EngineEvents* m_events = nullptr;
+  bool m_plain;
+  std::map<EngineName, Address> m_addresses;
+  Table<AttemptId, ClientCallId> m_calls;  // Orders that are open.
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ADAPTERS_ENGINE_CLIENT_H_
--- /dev/null
+++ b/burdockhill/src/adapters/openai_request.h
@@ -0,0 +1,29 @@
+#ifndef BURDOCKHILL_SRC_ADAPTERS_OPENAI_REQUEST_H_
+#define BURDOCKHILL_SRC_ADAPTERS_OPENAI_REQUEST_H_
+
+#include <optional>
+#include <string>
+
+#include "burdockhill/src/entry/caller_port.h"
+
+namespace burdockhill {
+
+enum class CompletionStyle { kChat, kText };
+
+// A completion request as an OpenAI client writes it.
+struct CompletionRequest {
+  CallerRequest request;  // Without id and key.
+  std::string model;
+  bool stream = false;
+  bool include_usage = false;
+};
+
+// Reads the body of POST /v1/chat/completions or /v1/completions. On failure
+// returns nullopt and sets `message` to what is wrong.
+std::optional<CompletionRequest> ParseCompletion(CompletionStyle style,
+                                                 const std::string& body,
+                                                 std::string* message);
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ADAPTERS_OPENAI_REQUEST_H_
--- /dev/null
+++ b/burdockhill/src/adapters/platform_client.cc
@@ -0,0 +1,168 @@
+#include "burdockhill/src/adapters/platform_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace burdockhill {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kCallTimeout{5};
+// Longer than the platform holds a watch.
+constexpr std::chrono::seconds kWatchTimeout{40};
+constexpr int kWatchMilliseconds = 30'000;
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
+
+std::string PathOf(const ResourceKey& key) {
+  return "/v1/objects/" + key.kind + "/" + key.name;
+}
+
+StoreStatus StatusOf(CallEnd end, int http_status) {
+  if (end != CallEnd::kComplete) return StoreStatus::kUnavailable;
+  if (http_status == kHttpOk) return StoreStatus::kOk;
+  if (http_status == kHttpNotFound) return StoreStatus::kNotFound;
+  if (http_status == kHttpConflict) return StoreStatus::kConflict;
+  return StoreStatus::kUnavailable;
+}
+
+StoredObject ReadObject(const json& item) {
+  StoredObject object;
+  object.key = {item.at("kind").get<std::string>(),
+                item.at("name").get<std::string>()};
+  object.version = item.at("version").get<uint64_t>();
+  object.value = item.value("value", "");
+  object.deleted = item.value("deleted", false);
+  return object;
+}
+
+ListedVm ReadVm(const json& item) {
+  ListedVm vm;
+  vm.name = VmName(item.at("name").get<std::string>());
+  vm.role = item.at("role") == "agent" ? Role::kAgent : Role::kEntry;
+  vm.peer_address = item.at("peers").get<std::string>();
+  vm.operators_address = item.value("operators", "");
+  vm.zone = ZoneName(item.at("zone").get<std::string>());
+  vm.region = RegionName(item.at("region").get<std::string>());
+  vm.leaving = item.value("leaving", false);
+  return vm;
+}
+
+// Parses a successful answer with `read`; anything malformed counts as no
+// answer.
+template <typename T>
+StoreStatus Read(StoreStatus status, const std::string& body, T* value,
+                 const std::function<T(const json&)>& read) {
+  if (status != StoreStatus::kOk) return status;
+  const json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  try {
+    *value = read(document);
+  } catch (const json::exception&) {
+    return StoreStatus::kUnavailable;
+  }
+  return StoreStatus::kOk;
+}
+
+uint64_t ReadVersion(const json& document) {
+  return document.at("version").get<uint64_t>();
+}
+
+}  // namespace
+
+void PlatformClient::Get(const ResourceKey& key, GetDone done) {
+  Fetch("GET", PathOf(key), "",
+        [done = std::move(done)](StoreStatus status, const std::string& body) {
+          StoredObject object;
+          status = Read<StoredObject>(status, body, &object, ReadObject);
+          done(status, object);
+        });
+}
+
+void PlatformClient::Put(const ResourceKey& key, const std::string& value,
+                         uint64_t expected_version, PutDone done) {
+  Fetch("PUT", PathOf(key) + "?expected=" + std::to_string(expected_version),
+        value,
+        [done = std::move(done)](StoreStatus status, const std::string& body) {
+          uint64_t version = 0;
+          status = Read<uint64_t>(status, body, &version, ReadVersion);
+          done(status, version);
+        });
+}
+
+void PlatformClient::Delete(const ResourceKey& key, uint64_t expected_version,
+                            PutDone done) {
+  Fetch("DELETE", PathOf(key) + "?expected=" + std::to_string(expected_version),
+        "",
+        [done = std::move(done)](StoreStatus status, const std::string& body) {
+          uint64_t version = 0;
+          status = Read<uint64_t>(status, body, &version, ReadVersion);
+          done(status, version);
+        });
+}
+
+void PlatformClient::Watch(const std::vector<std::string>& kinds,
+                           uint64_t since, WatchDone done) {
+  std::string joined;
+  for (const std::string& kind : kinds) {
+    joined += (joined.empty() ? "" : ",") + kind;
+  }
+  struct Changes {
+    std::vector<StoredObject> objects;
+    uint64_t revision = 0;
+  };
+  Fetch("GET",
+        "/v1/watch?kinds=" + joined + "&since=" + std::to_string(since) +
+            "&wait_ms=" + std::to_string(kWatchMilliseconds),
+        "",
+        [done = std::move(done)](StoreStatus status, const std::string& body) {
+          Changes changes;
+          status = Read<Changes>(status, body, &changes, [](const json& text) {
+            Changes read;
+            read.revision = text.at("revision").get<uint64_t>();
+            for (const json& item : text.at("objects")) {
+              read.objects.push_back(ReadObject(item));
+            }
+            return read;
+          });
+          done(status, changes.objects, changes.revision);
+        });
+}
+
+void PlatformClient::ListVms(ListDone done) {
+  Fetch("GET", "/v1/vms", "",
+        [done = std::move(done)](StoreStatus status, const std::string& body) {
+          std::vector<ListedVm> vms;
+          status = Read<std::vector<ListedVm>>(
+              status, body, &vms, [](const json& text) {
+                std::vector<ListedVm> read;
+                for (const json& item : text.at("vms")) {
+                  read.push_back(ReadVm(item));
+                }
+                return read;
+              });
+          done(status, vms);
+        });
+}
+
+void PlatformClient::Fetch(
+    const std::string& method, const std::string& path, const std::string& body,
+    std::function<void(StoreStatus, const std::string& body)> done) {
+  ++m_calls;
+  ClientRequest request;
+  request.address = m_platform;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.timeout =
+      path.starts_with("/v1/watch") ? kWatchTimeout : kCallTimeout;
+  FetchWhole(m_client, std::move(request),
+             [done = std::move(done)](CallEnd end, int status,
+                                      const std::string& answer) {
+               done(StatusOf(end, status), answer);
+             });
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/adapters/platform_client.h
@@ -0,0 +1,41 @@
+#ifndef BURDOCKHILL_SRC_ADAPTERS_PLATFORM_CLIENT_H_
+#define BURDOCKHILL_SRC_ADAPTERS_PLATFORM_CLIENT_H_
+
+#include <string>
+
+#include "burdockhill/src/store/object_store.h"
+#include "burdockhill/src/transport/http_client.h"
+
+namespace burdockhill {
+
+// The platform's object store and VM list over HTTP. See docs/platform-api.md.
+class PlatformClient : public ObjectStore {
+ public:
+  PlatformClient(HttpClient* client, const Address& platform)
+      : m_client(client), m_platform(platform) {}
+
+  void Get(const ResourceKey& key, GetDone done) override;
+  void Put(const ResourceKey& key, const std::string& value,
+           uint64_t expected_version, PutDone done) override;
+  void Delete(const ResourceKey& key, uint64_t expected_version,
+              PutDone done) override;
+  void Watch(const std::vector<std::string>& kinds, uint64_t since,
+             WatchDone done) override;
+  void ListVms(ListDone done) override;
+
+  // Calls made since the process started, each watch as one.
+  uint64_t Calls() const { return m_calls; }
+
+ private:
+  void Fetch(const std::string& method, const std::string& path,
+             const std::string& body,
+             std::function<void(StoreStatus, const std::string& body)> done);
+
+  HttpClient* m_client;
+  Address m_platform;
+  uint64_t m_calls = 0;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ADAPTERS_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/burdockhill/src/agent/agent_core.h
@@ -0,0 +1,76 @@
+#ifndef BURDOCKHILL_SRC_AGENT_AGENT_CORE_H_
+#define BURDOCKHILL_SRC_AGENT_AGENT_CORE_H_
+
+#include <string>
+#include <vector>
+
+#include "burdockhill/src/agent/agent_blackboard.h"
+#include "burdockhill/src/agent/agent_configuration.h"
+#include "burdockhill/src/agent/cancellation.h"
+#include "burdockhill/src/agent/decode_reservation.h"
+#include "burdockhill/src/agent/engine_health.h"
+#include "burdockhill/src/agent/load_reporting.h"
+#include "burdockhill/src/agent/plain_calls.h"
+#include "burdockhill/src/agent/prefill_queue.h"
+#include "burdockhill/src/peer/peer_link.h"
+
+namespace burdockhill {
+
+// The agent without I/O: a blackboard and its controllers. Feed it events and
+// call Step after each batch of them and at least every 20 ms.
+class AgentCore : public PeerEvents, public EngineEvents {
+ public:
+  AgentCore(const AgentIdentity& self,
+            const std::vector<std::pair<EngineName, std::string>>& back_ends,
+            const Clock* clock, PeerLink* peers, EngineLink* engines);
+
+  // Starts a graceful shutdown: new work is refused from now on.
+  void Leave();
+
+  // Whether nothing is left that a stop would cut off.
+  bool IsIdle() const;
+
+  void Step();
+
+  const AgentBlackboard& Board() const { return m_board; }
+
+  // PeerEvents:
+  void OnPeerUp(const Hello& peer) override;
+  void OnPeerDown(const VmName& vm) override;
+  void OnMessage(const VmName& from, const Message& message) override;
+
+  // EngineEvents:
+  void OnPrefilled(const AttemptId& attempt, const std::string& kv_handle,
+                   const std::string& kv_source, Tokens prompt,
+                   Tokens reused) override;
+  void OnTokens(const AttemptId& attempt, uint64_t offset, uint32_t tokens,
+                const std::string& text,
+                const std::string& finish_reason) override;
+  void OnOrderFailed(const AttemptId& attempt, ErrorKind kind,
+                     bool ran) override;
+  void OnCancelled(const AttemptId& attempt) override;
+  void OnCallAnswered(const AttemptId& attempt, int status,
+                      const std::string& content_type,
+                      const std::string& body) override;
+  void OnState(const EngineName& engine,
+               const std::optional<EngineState>& state) override;
+
+ private:
+  void Touch() { m_board.now = m_clock->Now(); }
+
+  const Clock* m_clock;
+  PeerLink* m_peers;
+  AgentBlackboard m_board;
+  DecodeReservation m_decodes;
+  PrefillQueue m_prefills;
+  PlainCalls m_calls;
+  Cancellation m_cancellation;
+  EngineHealth m_health;
+  LoadReporting m_reporting;
+  AgentConfiguration m_configuration;
+  bool m_stopping = false;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_AGENT_AGENT_CORE_H_
--- /dev/null
+++ b/burdockhill/src/agent/attempt_store.cc
@@ -0,0 +1,82 @@
+#include "burdockhill/src/agent/attempt_store.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace burdockhill::internal {
+
+namespace {
+
+// A delayed order cannot outlive the connection that carries it, and a
+// connection is replaced well before this.
+constexpr Duration kTombstoneTime = std::chrono::minutes(10);
+
+}  // namespace
+
+void Refuse(AgentBlackboard* board, PeerLink* peers, const VmName& entry,
+            const AttemptId& id, ErrorKind kind, Duration retry_after) {
+  Bury(board, id);
+  ++board->counters.refused;
+  peers->Send(entry, AttemptRefused{id, kind, retry_after});
+}
+
+void Bury(AgentBlackboard* board, const AttemptId& id) {
+  const TimePoint until = board->now + kTombstoneTime;
+  board->tombstones.FindOrInsert(id) = until;
+  board->tombstone_order.emplace_back(until, id);
+}
+
+void FreeHeld(AgentBlackboard* board, Attempt* attempt) {
+  const auto found = board->engines.find(attempt->engine);
+  if (found == board->engines.end()) return;
+  Engine& engine = found->second;
+  if (attempt->kind == AttemptKind::kPrefill) {
+    engine.queued_prefill -= attempt->prompt;
+  } else {
+    assert(engine.used_slots > 0 && "free each attempt once");
+    --engine.used_slots;
+    engine.used_pieces -= attempt->pieces;
+  }
+  attempt->engine = EngineName();
+  attempt->pieces = Pieces(0);
+}
+
+void Report(PeerLink* peers, const Attempt& attempt, uint64_t offset) {
+  const VmName& to = attempt.entry;
+  if (attempt.failure.has_value()) {
+    peers->Send(to, AttemptFailed{attempt.id, *attempt.failure});
+    return;
+  }
+  if (attempt.prefilled.has_value()) peers->Send(to, *attempt.prefilled);
+  if (attempt.answer.has_value()) peers->Send(to, *attempt.answer);
+  if (attempt.kind != AttemptKind::kDecode) return;
+  if (attempt.phase == AttemptPhase::kGranted) {
+    peers->Send(to, ReserveGranted{attempt.id, attempt.engine});
+    return;
+  }
+  const StreamChunk chunk = attempt.tail.From(attempt.id, offset);
+  if (chunk.tokens > 0 || !chunk.finish_reason.empty()) peers->Send(to, chunk);
+}
+
+void Enqueue(AgentBlackboard* board, std::vector<AttemptId>* queue,
+             const Attempt& attempt) {
+  const auto urgency = [](const Attempt& a) {
+    return std::tuple(a.request_class, a.give_up_at, a.id);
+  };
+  const auto place = std::upper_bound(
+      queue->begin(), queue->end(), attempt.id,
+      [&](const AttemptId& /*inserted*/, const AttemptId& other) {
+        const Attempt* queued = board->attempts.Find(other);
+        assert(queued != nullptr && "unqueue an attempt before erasing it");
+        return urgency(attempt) < urgency(*queued);
+      });
+  queue->insert(place, attempt.id);
+}
+
+void Unqueue(std::vector<AttemptId>* queue, const AttemptId& id) {
+  const auto found = std::find(queue->begin(), queue->end(), id);
+  if (found != queue->end()) queue->erase(found);
+}
+
+}  // namespace burdockhill::internal
--- /dev/null
+++ b/burdockhill/src/agent/cancellation.cc
@@ -0,0 +1,140 @@
+#include "burdockhill/src/agent/cancellation.h"
+
+#include <utility>
+
+#include "burdockhill/src/agent/attempt_store.h"
+
+namespace burdockhill {
+
+namespace {
+constexpr Duration kCancelRepeat = std::chrono::seconds(1);
+constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
+}  // namespace
+
+void Cancellation::OnCancel(const VmName& entry, const CancelAttempt& order) {
+  Attempt* attempt = m_board->attempts.Find(order.attempt);
+  if (attempt == nullptr) {
+    internal::Bury(m_board, order.attempt);
+    m_peers->Send(entry, AttemptReleased{order.attempt});
+    return;
+  }
+  attempt->entry = entry;
+  End(attempt);
+}
+
+void Cancellation::OnRenew(const VmName& entry, const RenewHolds& order) {
+  for (const AttemptId& id : order.attempts) {
+    Attempt* attempt = m_board->attempts.Find(id);
+    if (attempt != nullptr) {
+      attempt->hold_until = m_board->now + kHoldTime;
+    } else if (m_board->tombstones.Find(id) != nullptr) {
+      m_peers->Send(entry, AttemptReleased{id});
+    }
+  }
+}
+
+void Cancellation::OnAttach(const VmName& entry, const AttachAttempt& order) {
+  Attempt* attempt = m_board->attempts.Find(order.attempt);
+  if (attempt != nullptr) {
+    attempt->entry = entry;
+    attempt->hold_until = m_board->now + kHoldTime;
+    internal::Report(m_peers, *attempt, order.offset);
+    return;
+  }
+  if (m_board->tombstones.Find(order.attempt) != nullptr) {
+    m_peers->Send(entry, AttemptReleased{order.attempt});
+    return;
+  }
+  internal::Refuse(m_board, m_peers, entry, order.attempt,
+                   ErrorKind::kUpstreamRefused, Duration(0));
+}
+
+void Cancellation::OnCancelled(const AttemptId& id) {
+  const Attempt* attempt = m_board->attempts.Find(id);
+  if (attempt == nullptr || attempt->phase != AttemptPhase::kCancelling) return;
+  Release(id);
+}
+
+void Cancellation::OnOrderFailed(const AttemptId& id, ErrorKind kind,
+                                 bool ran) {
+  Attempt* attempt = m_board->attempts.Find(id);
+  if (attempt == nullptr) return;
+  if (attempt->phase == AttemptPhase::kCancelling) return Release(id);
+  if (attempt->phase != AttemptPhase::kRunning) return;
+  internal::FreeHeld(m_board, attempt);
+  if (!ran) {
+    const VmName entry = attempt->entry;
+    m_board->attempts.Erase(id);
+    internal::Refuse(m_board, m_peers, entry, id, kind, Duration(0));
+    return;
+  }
+  attempt->phase = AttemptPhase::kDone;
+  if (attempt->abandoned) return Release(id);
+  attempt->failure = kind;
+  m_peers->Send(attempt->entry, AttemptFailed{id, kind});
+}
+
+void Cancellation::Step() {
+  for (const AttemptId& id : std::exchange(m_board->to_cancel, {})) {
+    if (Attempt* attempt = m_board->attempts.Find(id)) End(attempt);
+  }
+  for (const AttemptId& id : std::exchange(m_board->to_release, {})) {
+    OnCancelled(id);
+  }
+  if (m_board->now < m_next_sweep) return;
+  m_next_sweep = m_board->now + kSweepInterval;
+  std::vector<AttemptId> expired;
+  for (const auto& [id, attempt] : m_board->attempts) {
+    const bool unconfirmed = attempt.phase == AttemptPhase::kCancelling &&
+                             attempt.cancel_again_at <= m_board->now;
+    const bool lapsed = attempt.phase != AttemptPhase::kCancelling &&
+                        !attempt.abandoned && attempt.hold_until < m_board->now;
+    if (lapsed) ++m_board->counters.holds_expired;
+    if (lapsed || unconfirmed) expired.push_back(id);
+  }
+  for (const AttemptId& id : expired) End(m_board->attempts.Find(id));
+  std::deque<std::pair<TimePoint, AttemptId>>& order = m_board->tombstone_order;
+  while (!order.empty() && order.front().first < m_board->now) {
+    const AttemptId& id = order.front().second;
+    const TimePoint* until = m_board->tombstones.Find(id);
+    if (until != nullptr && *until < m_board->now)
+      m_board->tombstones.Erase(id);
+    order.pop_front();
+  }
+}
+
+void Cancellation::End(Attempt* attempt) {
+  switch (attempt->phase) {
+    case AttemptPhase::kQueued:
+      internal::Unqueue(&m_board->decode_queue, attempt->id);
+      internal::Unqueue(&m_board->prefill_queue, attempt->id);
+      Release(attempt->id);
+      return;
+    case AttemptPhase::kGranted:
+    case AttemptPhase::kDone:
+      Release(attempt->id);
+      return;
+    case AttemptPhase::kRunning:
+    case AttemptPhase::kCancelling:
+      if (attempt->kind == AttemptKind::kCall) {
+        attempt->abandoned = true;
+        return;
+      }
+      attempt->phase = AttemptPhase::kCancelling;
+      attempt->cancel_again_at = m_board->now + kCancelRepeat;
+      ++m_board->counters.cancels;
+      m_engines->Cancel(attempt->engine, attempt->id);
+      return;
+  }
+}
+
+void Cancellation::Release(const AttemptId& id) {
+  Attempt* attempt = m_board->attempts.Find(id);
+  const VmName entry = attempt->entry;
+  internal::FreeHeld(m_board, attempt);
+  m_board->attempts.Erase(id);
+  internal::Bury(m_board, id);
+  m_peers->Send(entry, AttemptReleased{id});
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/agent/decode_reservation.cc
@@ -0,0 +1,173 @@
+#include "burdockhill/src/agent/decode_reservation.h"
+
+#include <algorithm>
+
+#include "burdockhill/src/agent/attempt_store.h"
+
+namespace burdockhill {
+
+namespace {
+
+Pieces PiecesNeeded(const Engine& engine, Tokens prompt, Tokens output) {
+  return PiecesFor(prompt + output, engine.state->piece_size);
+}
+
+}  // namespace
+
+void DecodeReservation::OnReserve(const VmName& entry,
+                                  const ReserveDecode& order) {
+  if (Attempt* known = m_board->attempts.Find(order.attempt)) {
+    internal::Report(m_peers, *known, known->tail.NextOffset());
+    return;
+  }
+  const auto refuse = [&](ErrorKind kind, Duration retry_after) {
+    internal::Refuse(m_board, m_peers, entry, order.attempt, kind, retry_after);
+  };
+  if (m_board->tombstones.Find(order.attempt) != nullptr) {
+    return refuse(ErrorKind::kCallerGone, Duration(0));
+  }
+  if (m_board->leaving) return refuse(ErrorKind::kLeaving, Duration(0));
+  if (order.service != m_board->self.service || !CanEverFit(order)) {
+    return refuse(ErrorKind::kUpstreamRefused, Duration(0));
+  }
+
+  Attempt attempt;
+  attempt.id = order.attempt;
+  attempt.kind = AttemptKind::kDecode;
+  attempt.entry = entry;
+  attempt.request_class = order.request_class;
+  attempt.prompt = order.prompt;
+  attempt.output = order.expected_output;
+  attempt.queued_at = m_board->now;
+  attempt.give_up_at = m_board->now + order.wait_budget;
+  attempt.hold_until = m_board->now + kHoldTime;
+  if (FindRoom(attempt) == nullptr) {
+    const Duration wait = PredictedWait(order.request_class);
+    if (wait > order.wait_budget) {
+      return refuse(ErrorKind::kOverloaded, wait);
+    }
+  }
+  Attempt& stored = m_board->attempts.FindOrInsert(order.attempt);
+  stored = std::move(attempt);
+  internal::Enqueue(m_board, &m_board->decode_queue, stored);
+}
+
+void DecodeReservation::OnStart(const VmName& entry, const StartDecode& order) {
+  Attempt* attempt = m_board->attempts.Find(order.attempt);
+  if (attempt == nullptr) {
+    return internal::Refuse(m_board, m_peers, entry, order.attempt,
+                            ErrorKind::kUpstreamRefused, Duration(0));
+  }
+  if (attempt->phase != AttemptPhase::kGranted) {
+    internal::Report(m_peers, *attempt, order.first_offset);
+    return;
+  }
+  attempt->phase = AttemptPhase::kRunning;
+  attempt->started_at = m_board->now;
+  attempt->tail.Reset(order.first_offset);
+  ++m_board->counters.decodes;
+  DecodeOrder decode;
+  decode.attempt = order.attempt;
+  decode.request_class = attempt->request_class;
+  decode.kv_handle = order.kv_handle;
+  decode.kv_source = order.kv_source;
+  decode.max_output = order.max_output;
+  decode.first_offset = order.first_offset;
+  decode.parameters = order.parameters;
+  m_engines->Decode(attempt->engine, decode);
+}
+
+void DecodeReservation::OnTokens(const AttemptId& id, uint64_t offset,
+                                 uint32_t tokens, const std::string& text,
+                                 const std::string& finish_reason) {
+  Attempt* attempt = m_board->attempts.Find(id);
+  if (attempt == nullptr || attempt->phase != AttemptPhase::kRunning) return;
+  if (!attempt->tail.Append(offset, tokens, text, finish_reason)) return;
+  m_board->counters.tokens += tokens;
+  m_peers->Send(attempt->entry,
+                StreamChunk{id, offset, tokens, text, finish_reason});
+  if (finish_reason.empty()) return;
+  const std::chrono::duration<double> held = m_board->now - attempt->started_at;
+  m_board->decode_seconds.Add(held.count());
+  internal::FreeHeld(m_board, attempt);
+  attempt->phase = AttemptPhase::kDone;
+}
+
+void DecodeReservation::Step() {
+  std::vector<AttemptId>& queue = m_board->decode_queue;
+  for (size_t i = 0; i < queue.size();) {
+    Attempt* attempt = m_board->attempts.Find(queue[i]);
+    const bool waited_too_long = attempt->give_up_at < m_board->now;
+    if (waited_too_long || m_board->leaving) {
+      const ErrorKind kind =
+          m_board->leaving ? ErrorKind::kLeaving : ErrorKind::kOverloaded;
+      const Duration wait = PredictedWait(attempt->request_class);
+      internal::Refuse(m_board, m_peers, attempt->entry, attempt->id, kind,
+                       wait);
+      m_board->attempts.Erase(queue[i]);
+      queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+      continue;
+    }
+    Engine* engine = FindRoom(*attempt);
+    if (engine == nullptr) {
+      ++i;
+      continue;
+    }
+    queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+    Grant(attempt, engine);
+  }
+}
+
+bool DecodeReservation::CanEverFit(const ReserveDecode& order) const {
+  return std::any_of(
+      m_board->engines.begin(), m_board->engines.end(), [&](const auto& item) {
+        const Engine& engine = item.second;
+        return engine.HasRole(EngineRole::kDecode) &&
+               PiecesNeeded(engine, order.prompt, order.expected_output) <=
+                   engine.state->pieces;
+      });
+}
+
+Engine* DecodeReservation::FindRoom(const Attempt& attempt) {
+  Engine* best = nullptr;
+  for (auto& [name, engine] : m_board->engines) {
+    if (!engine.HasRole(EngineRole::kDecode)) continue;
+    if (engine.used_slots >= engine.state->slots) continue;
+    const Pieces needed = PiecesNeeded(engine, attempt.prompt, attempt.output);
+    if (engine.used_pieces + needed > engine.state->pieces) continue;
+    if (best == nullptr || engine.used_slots < best->used_slots) {
+      best = &engine;
+    }
+  }
+  return best;
+}
+
+Duration DecodeReservation::PredictedWait(RequestClass request_class) const {
+  uint32_t slots = 0;
+  for (const auto& [name, engine] : m_board->engines) {
+    if (engine.HasRole(EngineRole::kDecode)) slots += engine.state->slots;
+  }
+  if (slots == 0) return std::chrono::seconds(2);
+  const auto ahead = std::count_if(
+      m_board->decode_queue.begin(), m_board->decode_queue.end(),
+      [&](const AttemptId& id) {
+        return m_board->attempts.Find(id)->request_class <= request_class;
+      });
+  const double seconds =
+      m_board->decode_seconds.Value() * static_cast<double>(ahead + 1) / slots;
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  return Duration(static_cast<int64_t>(seconds * kMicrosecondsPerSecond));
+}
+
+void DecodeReservation::Grant(Attempt* attempt, Engine* engine) {
+  attempt->phase = AttemptPhase::kGranted;
+  attempt->engine = engine->name;
+  attempt->pieces = PiecesNeeded(*engine, attempt->prompt, attempt->output);
+  attempt->started_at = m_board->now;
+  ++engine->used_slots;
+  engine->used_pieces += attempt->pieces;
+  ++m_board->counters.granted;
+  m_peers->Send(attempt->entry, ReserveGranted{attempt->id, engine->name});
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/agent/load_reporting.cc
@@ -0,0 +1,51 @@
+#include "burdockhill/src/agent/load_reporting.h"
+
+namespace burdockhill {
+
+namespace {
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+}  // namespace
+
+void LoadReporting::OnPeerUp(const VmName& entry) {
+  m_peers->Send(entry, Compose());
+}
+
+void LoadReporting::Step() {
+  if (!m_board->report_due && m_board->now < m_next_report) return;
+  m_board->report_due = false;
+  m_next_report = m_board->now + kReportInterval;
+  const LoadReport report = Compose();
+  for (const auto& [entry, incarnation] : m_board->entries) {
+    m_peers->Send(entry, report);
+  }
+}
+
+LoadReport LoadReporting::Compose() const {
+  LoadReport report;
+  report.upstream = m_board->self.upstream;
+  report.service = m_board->self.service;
+  report.plain = m_board->self.plain;
+  report.leaving = m_board->leaving;
+  report.in_force = m_board->in_force;
+  report.staged = m_board->staged;
+  for (const auto& [name, engine] : m_board->engines) {
+    EngineLoad load;
+    load.name = name;
+    load.healthy = engine.reachable;
+    load.running = engine.used_slots;
+    load.queued_prefill = engine.queued_prefill;
+    if (engine.state.has_value()) {
+      load.role = engine.state->role;
+      load.slots = engine.state->slots;
+      load.free_pieces = engine.state->pieces - engine.used_pieces;
+      load.prefill_rate = engine.state->prefill_rate;
+      if (load.role == EngineRole::kDecode) {
+        load.waiting = static_cast<uint32_t>(m_board->decode_queue.size());
+      }
+    }
+    report.engines.push_back(load);
+  }
+  return report;
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/agent/prefill_queue.cc
@@ -0,0 +1,154 @@
+#include "burdockhill/src/agent/prefill_queue.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "burdockhill/src/agent/attempt_store.h"
+
+namespace burdockhill {
+
+namespace {
+
+// Prefills that an engine is given at a time: one that runs and one that can
+// follow without a pause.
+constexpr uint32_t kPrefillsPerEngine = 2;
+// Prompts that share this many bytes are taken to start alike.
+constexpr size_t kPrefixBytes = 1024;
+constexpr size_t kMaxPrefixes = 4096;
+// How much longer the wait for an engine with the prefix may be.
+constexpr Duration kAffinityWait = std::chrono::milliseconds(50);
+
+uint64_t PrefixHash(const std::string& text) {
+  return XXH3_64bits(text.data(), std::min(text.size(), kPrefixBytes));
+}
+
+}  // namespace
+
+void PrefillQueue::OnStart(const VmName& entry, const StartPrefill& order) {
+  if (Attempt* known = m_board->attempts.Find(order.attempt)) {
+    internal::Report(m_peers, *known, 0);
+    return;
+  }
+  const auto refuse = [&](ErrorKind kind, Duration retry_after) {
+    internal::Refuse(m_board, m_peers, entry, order.attempt, kind, retry_after);
+  };
+  if (m_board->tombstones.Find(order.attempt) != nullptr) {
+    return refuse(ErrorKind::kCallerGone, Duration(0));
+  }
+  if (m_board->leaving) return refuse(ErrorKind::kLeaving, Duration(0));
+  if (order.service != m_board->self.service) {
+    return refuse(ErrorKind::kUpstreamRefused, Duration(0));
+  }
+
+  Attempt attempt;
+  attempt.id = order.attempt;
+  attempt.kind = AttemptKind::kPrefill;
+  attempt.entry = entry;
+  attempt.request_class = order.request_class;
+  attempt.prompt = order.prompt;
+  attempt.queued_at = m_board->now;
+  attempt.give_up_at = m_board->now + order.wait_budget;
+  attempt.hold_until = m_board->now + kHoldTime;
+  attempt.prefill = {order.attempt, order.request_class, order.text,
+                     order.parameters};
+  Engine* engine = ChooseEngine(attempt);
+  if (engine == nullptr) {
+    return refuse(ErrorKind::kUpstreamRefused, Duration(0));
+  }
+  const Duration wait = PredictedWait(*engine);
+  if (wait > order.wait_budget) return refuse(ErrorKind::kOverloaded, wait);
+
+  engine->queued_prefill += attempt.prompt;
+  attempt.engine = engine->name;
+  if (m_last_engine.size() >= kMaxPrefixes) m_last_engine.clear();
+  m_last_engine[PrefixHash(order.text)] = engine->name;
+  Attempt& stored = m_board->attempts.FindOrInsert(order.attempt);
+  stored = std::move(attempt);
+  internal::Enqueue(m_board, &m_board->prefill_queue, stored);
+}
+
+void PrefillQueue::OnPrefilled(const AttemptId& id,
+                               const std::string& kv_handle,
+                               const std::string& kv_source, Tokens prompt,
+                               Tokens reused) {
+  Attempt* attempt = m_board->attempts.Find(id);
+  if (attempt == nullptr || attempt->phase != AttemptPhase::kRunning) return;
+  internal::FreeHeld(m_board, attempt);
+  attempt->phase = AttemptPhase::kDone;
+  attempt->prefilled = PrefillDone{id, kv_handle, kv_source, prompt, reused};
+  m_peers->Send(attempt->entry, *attempt->prefilled);
+}
+
+void PrefillQueue::Step() {
+  std::vector<AttemptId>& queue = m_board->prefill_queue;
+  for (size_t i = 0; i < queue.size();) {
+    Attempt* attempt = m_board->attempts.Find(queue[i]);
+    const bool waited_too_long = attempt->give_up_at < m_board->now;
+    const Engine& engine = m_board->engines.at(attempt->engine);
+    if (waited_too_long || m_board->leaving || !engine.reachable) {
+      const ErrorKind kind =
+          m_board->leaving ? ErrorKind::kLeaving : ErrorKind::kOverloaded;
+      const Duration wait = PredictedWait(engine);
+      internal::FreeHeld(m_board, attempt);
+      internal::Refuse(m_board, m_peers, attempt->entry, attempt->id, kind,
+                       wait);
+      m_board->attempts.Erase(queue[i]);
+      queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+      continue;
+    }
+    if (RunningOn(attempt->engine) >= kPrefillsPerEngine) {
+      ++i;
+      continue;
+    }
+    queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+    Run(attempt);
+  }
+}
+
+Engine* PrefillQueue::ChooseEngine(const Attempt& attempt) {
+  Engine* best = nullptr;
+  for (auto& [name, engine] : m_board->engines) {
+    if (!engine.HasRole(EngineRole::kPrefill)) continue;
+    if (best == nullptr || PredictedWait(engine) < PredictedWait(*best)) {
+      best = &engine;
+    }
+  }
+  const auto last = m_last_engine.find(PrefixHash(attempt.prefill.text));
+  if (best == nullptr || last == m_last_engine.end()) return best;
+  Engine& with_prefix = m_board->engines.at(last->second);
+  const bool usable =
+      with_prefix.HasRole(EngineRole::kPrefill) &&
+      PredictedWait(with_prefix) <= PredictedWait(*best) + kAffinityWait;
+  return usable ? &with_prefix : best;
+}
+
+Duration PrefillQueue::PredictedWait(const Engine& engine) const {
+  if (!engine.state.has_value()) return kHoldTime;
+  constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
+  return Duration(engine.queued_prefill.Value() * kMicrosecondsPerSecond /
+                  std::max<int64_t>(engine.state->prefill_rate, 1));
+}
+
+uint32_t PrefillQueue::RunningOn(const EngineName& engine) const {
+  uint32_t running = 0;
+  for (const auto& [id, attempt] : m_board->attempts) {
+    const bool counts = attempt.kind == AttemptKind::kPrefill &&
+                        attempt.engine == engine &&
+                        (attempt.phase == AttemptPhase::kRunning ||
+                         attempt.phase == AttemptPhase::kCancelling);
+    if (counts) ++running;
+  }
+  return running;
+}
+
+void PrefillQueue::Run(Attempt* attempt) {
+  attempt->phase = AttemptPhase::kRunning;
+  attempt->started_at = m_board->now;
+  ++m_board->counters.prefills;
+  const PrefillOrder order = std::move(attempt->prefill);
+  attempt->prefill = {};
+  m_engines->Prefill(attempt->engine, order);
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/base/id.h
@@ -0,0 +1,99 @@
+#ifndef BURDOCKHILL_SRC_BASE_ID_H_
+#define BURDOCKHILL_SRC_BASE_ID_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace burdockhill {
+
+// A number that identifies one kind of object. Ids of different kinds do not
+// convert into each other. Zero is never a valid id.
+template <typename Tag>
+class NumericId {
+ public:
+  constexpr NumericId() = default;
+  constexpr explicit NumericId(uint64_t value) : m_value(value) {}
+  constexpr uint64_t Value() const { return m_value; }
+  constexpr bool IsValid() const { return m_value != 0; }
+  auto operator<=>(const NumericId&) const = default;
+
+ private:
+  uint64_t m_value = 0;
+};
+
+// A name that identifies one kind of object, as operators write it.
+template <typename Tag>
+class NameId {
+ public:
+  NameId() = default;
+  explicit NameId(std::string value) : m_value(std::move(value)) {}
+  const std::string& Value() const { return m_value; }
+  bool IsValid() const { return !m_value.empty(); }
+  auto operator<=>(const NameId&) const = default;
+
+ private:
+  std::string m_value;
+};
+
+// One request of a caller.
+using RequestId = NumericId<struct RequestIdTag>;
+// One run of a process, drawn at random when it starts.
+using Incarnation = NumericId<struct IncarnationTag>;
+// An operators' configuration as a whole; it only grows.
+using Generation = NumericId<struct GenerationTag>;
+
+using TenantName = NameId<struct TenantNameTag>;
+using ServiceName = NameId<struct ServiceNameTag>;
+using UpstreamName = NameId<struct UpstreamNameTag>;
+using EngineName = NameId<struct EngineNameTag>;
+using VmName = NameId<struct VmNameTag>;
+using ZoneName = NameId<struct ZoneNameTag>;
+using RegionName = NameId<struct RegionNameTag>;
+
+// One piece of work that an entry gives to one agent on behalf of a request:
+// a decode reservation, a prefill or a call. Never used for a second agent.
+struct AttemptId {
+  RequestId request;
+  uint32_t number = 0;
+  Incarnation entry;
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+// Formats a request id as callers and operators see it: "req-" and 16 hex
+// digits.
+std::string FormatRequestId(RequestId id);
+
+// Reads what FormatRequestId wrote; nullopt on any other text.
+std::optional<RequestId> ParseRequestId(std::string_view text);
+
+}  // namespace burdockhill
+
+template <typename Tag>
+struct std::hash<burdockhill::NumericId<Tag>> {
+  size_t operator()(const burdockhill::NumericId<Tag>& id) const noexcept {
+    return std::hash<uint64_t>()(id.Value());
+  }
+};
+
+template <typename Tag>
+struct std::hash<burdockhill::NameId<Tag>> {
+  size_t operator()(const burdockhill::NameId<Tag>& id) const noexcept {
+    return std::hash<std::string>()(id.Value());
+  }
+};
+
+template <>
+struct std::hash<burdockhill::AttemptId> {
+  size_t operator()(const burdockhill::AttemptId& id) const noexcept {
+    constexpr uint64_t kMultiplier = 0x9E3779B97F4A7C15ULL;
+    return (id.request.Value() * kMultiplier) ^ (id.number * kMultiplier) ^
+           id.entry.Value();
+  }
+};
+
+#endif  // BURDOCKHILL_SRC_BASE_ID_H_
--- /dev/null
+++ b/burdockhill/src/ctl/ctl_client.cc
@@ -0,0 +1,43 @@
+#include "burdockhill/src/ctl/ctl_client.h"
+
+namespace burdockhill {
+
+namespace {
+constexpr std::chrono::seconds kTimeout{5};
+constexpr Duration kTick = std::chrono::milliseconds(50);
+}  // namespace
+
+CtlAnswer CtlClient::Call(const Address& to, const std::string& method,
+                          const std::string& path, const std::string& body) {
+  ClientRequest request;
+  request.address = to;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.timeout = kTimeout;
+  CtlAnswer answer;
+  bool done = false;
+  FetchWhole(&m_client, std::move(request),
+             [&](CallEnd end, int status, std::string text) {
+               answer.reached = end == CallEnd::kComplete;
+               answer.status = status;
+               answer.body = std::move(text);
+               done = true;
+             });
+  while (!done) {
+    m_loop.WakeAfter(kTick);
+    m_loop.RunOnce();
+  }
+  return answer;
+}
+
+void CtlClient::Sleep(Duration time) {
+  const SystemClock clock;
+  const TimePoint until = clock.Now() + time;
+  while (clock.Now() < until) {
+    m_loop.WakeAfter(until - clock.Now());
+    m_loop.RunOnce();
+  }
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/daemon/process.cc
@@ -0,0 +1,154 @@
+#include "burdockhill/src/daemon/process.h"
+
+#include <random>
+#include <string>
+
+#include "burdockhill/src/adapters/caller_api.h"
+#include "burdockhill/src/adapters/engine_client.h"
+#include "burdockhill/src/adapters/operators_api.h"
+#include "burdockhill/src/adapters/platform_client.h"
+#include "burdockhill/src/agent/agent_core.h"
+#include "burdockhill/src/daemon/logging.h"
+#include "burdockhill/src/daemon/stop_signal.h"
+#include "burdockhill/src/entry/entry_core.h"
+#include "burdockhill/src/transport/event_loop.h"
+#include "burdockhill/src/transport/peer_transport.h"
+
+namespace burdockhill {
+
+namespace {
+
+// Longest time between two steps of the core.
+constexpr Duration kTick = std::chrono::milliseconds(20);
+// Time that a leaving process stays after its last request, so that peers hear
+// of it and callers read the end of their answers.
+constexpr Duration kLinger = std::chrono::milliseconds(300);
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  constexpr int kWordBits = 32;
+  return (static_cast<uint64_t>(device()) << kWordBits) | device();
+}
+
+HttpServer::Options ServerOptions(const std::string& address, size_t max_body) {
+  HttpServer::Options options;
+  options.address = *ParseAddress(address);
+  options.max_body = max_body;
+  return options;
+}
+
+PeerTransport::Options PeerOptions(const Settings& settings,
+                                   Incarnation incarnation) {
+  PeerTransport::Options options;
+  options.listen = *ParseAddress(settings.peers);
+  options.shared_key = settings.peer_key;
+  options.self.vm = settings.vm;
+  options.self.role = settings.role;
+  options.self.zone = settings.zone;
+  options.self.region = settings.region;
+  options.self.incarnation = incarnation;
+  return options;
+}
+
+// Runs the loop until a stop was asked for and `core` has nothing left to do,
+// or the time for that is over.
+template <typename Core>
+int RunLoop(const Settings& settings, const std::string& part, EventLoop* loop,
+            PeerTransport* peers, Core* core) {
+  const SystemClock clock;
+  bool leaving = false;
+  TimePoint give_up_at{};
+  TimePoint idle_since{};
+  for (;;) {
+    loop->WakeAfter(kTick);
+    loop->RunOnce();
+    core->Step();
+    const TimePoint now = clock.Now();
+    peers->Flush(now);
+    if (!StopRequested()) continue;
+    if (!leaving) {
+      leaving = true;
+      give_up_at = now + settings.drain_limit;
+      core->Leave();
+      LogInfo(part, "Leaving. New work is refused.");
+    }
+    if (!core->IsIdle()) idle_since = TimePoint();
+    if (core->IsIdle() && idle_since == TimePoint()) idle_since = now;
+    if (core->IsIdle() && now - idle_since > kLinger) {
+      LogInfo(part, "Stopped. Nothing was cut off.");
+      return 0;
+    }
+    if (now > give_up_at) {
+      LogWarning(part, "Stopped at the drain limit with work in flight.");
+      return 3;
+    }
+  }
+}
+
+constexpr size_t kMaxCallerBody = size_t{1} << 20;
+constexpr size_t kMaxOperatorBody = 4096;
+
+}  // namespace
+
+int RunEntry(const Settings& settings) {
+  const SystemClock clock;
+  Random random(RandomSeed());
+  const Incarnation incarnation(random.NextId());
+  EventLoop loop;
+  WatchStopSignals(&loop);
+  PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
+  HttpClient client(&loop);
+  PlatformClient platform(&client, *ParseAddress(settings.platform));
+  CallerApi callers(&random);
+  OperatorsApi operators;
+  EntryCore core({settings.vm, settings.zone, settings.region, incarnation},
+                 &clock, &random, &peers, &platform, &callers);
+  peers.SetEvents(&core);
+  callers.SetCore(&core);
+  AddEntryPages(&operators, &core);
+  HttpServer caller_server(
+      &loop, ServerOptions(settings.callers, kMaxCallerBody), &callers);
+  HttpServer operator_server(
+      &loop, ServerOptions(settings.operators, kMaxOperatorBody), &operators);
+  callers.SetServer(&caller_server);
+  operators.SetServer(&operator_server);
+  LogInfo("entry", "Started as " + settings.vm.Value() + " in zone " +
+                       settings.zone.Value() + ".");
+  return RunLoop(settings, "entry", &loop, &peers, &core);
+}
+
+int RunAgent(const Settings& settings) {
+  const SystemClock clock;
+  Random random(RandomSeed());
+  const Incarnation incarnation(random.NextId());
+  EventLoop loop;
+  WatchStopSignals(&loop);
+  PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
+  HttpClient client(&loop);
+  EngineClient engines(&client, settings);
+  OperatorsApi operators;
+  AgentIdentity self;
+  self.vm = settings.vm;
+  self.zone = settings.zone;
+  self.region = settings.region;
+  self.incarnation = incarnation;
+  self.upstream = settings.upstream;
+  self.service = settings.service;
+  self.plain = settings.plain;
+  std::vector<std::pair<EngineName, std::string>> back_ends;
+  for (const BackEnd& back_end : settings.back_ends) {
+    back_ends.emplace_back(back_end.name, back_end.address);
+  }
+  AgentCore core(self, back_ends, &clock, &peers, &engines);
+  peers.SetEvents(&core);
+  engines.SetEvents(&core);
+  AddAgentPages(&operators, &core);
+  HttpServer operator_server(
+      &loop, ServerOptions(settings.operators, kMaxOperatorBody), &operators);
+  operators.SetServer(&operator_server);
+  LogInfo("agent", "Started beside " + settings.upstream.Value() + " in zone " +
+                       settings.zone.Value() + ".");
+  return RunLoop(settings, "agent", &loop, &peers, &core);
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/admission.cc
@@ -0,0 +1,122 @@
+#include "burdockhill/src/entry/admission.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+namespace {
+constexpr char kPart[] = "admission";
+}  // namespace
+
+void Admission::Step() {
+  for (const RequestId& id : std::exchange(m_board->arrived, {})) {
+    Request* request = m_board->requests.Find(id);
+    if (request != nullptr && request->phase == RequestPhase::kArrived) {
+      Admit(request);
+    }
+  }
+}
+
+void Admission::Admit(Request* request) {
+  const auto refuse = [&](ErrorKind kind) {
+    internal::EndWithError(m_board, request, kind, kPart);
+  };
+  if (m_board->leaving) return refuse(ErrorKind::kLeaving);
+  if (m_board->configuration == nullptr) return refuse(ErrorKind::kNotReady);
+  const Tenant* tenant = FindTenant(*request);
+  if (tenant == nullptr) return refuse(ErrorKind::kUnauthorized);
+  request->tenant = tenant->name;
+  request->request_class = tenant->request_class;
+  if (!CheckService(request, *tenant)) return;
+  if (!CheckLimits(request, *tenant)) return;
+
+  const RoutingPolicy& policy =
+      m_board->configuration->PolicyFor(request->policy);
+  request->first_token_by = request->arrived + policy.first_token_limit;
+  RateLimit& budget = m_board->retry_budgets[request->policy];
+  constexpr double kRetryBurst = 10.0;
+  constexpr double kPercent = 100.0;
+  budget.Configure(0.0, kRetryBurst);
+  budget.Deposit(static_cast<double>(policy.retry_budget_percent) / kPercent);
+  ++m_board->tenant_use[tenant->name].concurrent;
+  request->counted = true;
+  request->phase = RequestPhase::kWaiting;
+  m_board->to_place.push_back(request->asked.id);
+  internal::Note(m_board, request->asked.id, kPart,
+                 "admitted for tenant " + tenant->name.Value() + ", class " +
+                     std::string(RequestClassName(request->request_class)) +
+                     ", service " + request->asked.service.Value());
+}
+
+const Tenant* Admission::FindTenant(const Request& request) const {
+  const Configuration& c = *m_board->configuration;
+  const auto name = c.tenants_by_key.find(request.asked.key_sha256);
+  if (name == c.tenants_by_key.end()) return nullptr;
+  return &c.tenants.at(name->second);
+}
+
+bool Admission::CheckService(Request* request, const Tenant& tenant) {
+  const auto refuse = [&](ErrorKind kind, const std::string& detail = {}) {
+    internal::EndWithError(m_board, request, kind, kPart, detail);
+    return false;
+  };
+  const Configuration& c = *m_board->configuration;
+  const ServiceName& service = request->asked.service;
+  const auto model = c.models.find(service);
+  const auto plain = c.plain_services.find(service);
+  const bool exists = request->asked.plain ? plain != c.plain_services.end()
+                                           : model != c.models.end();
+  if (!exists) return refuse(ErrorKind::kNotFound);
+  const bool allowed =
+      std::any_of(tenant.services.begin(), tenant.services.end(),
+                  [&](const std::string& name) {
+                    return name == "*" || name == service.Value();
+                  });
+  if (!allowed) return refuse(ErrorKind::kForbidden);
+  if (request->asked.plain) {
+    request->policy = plain->second.policy;
+    return true;
+  }
+  request->policy = model->second.policy;
+  request->max_output =
+      request->asked.max_output.value_or(model->second.default_output);
+  if (request->asked.prompt_tokens > model->second.max_prompt) {
+    return refuse(ErrorKind::kTooLarge,
+                  "the prompt exceeds " +
+                      std::to_string(model->second.max_prompt.Value()) +
+                      " tokens");
+  }
+  if (request->max_output > model->second.max_output) {
+    return refuse(ErrorKind::kBadRequest,
+                  "max_tokens exceeds " +
+                      std::to_string(model->second.max_output.Value()));
+  }
+  return true;
+}
+
+bool Admission::CheckLimits(Request* request, const Tenant& tenant) {
+  TenantUse& use = m_board->tenant_use[tenant.name];
+  const auto entries = static_cast<double>(m_board->live_entries);
+  use.rate.Configure(
+      static_cast<double>(tenant.requests_per_second) / entries,
+      std::max(1.0, static_cast<double>(tenant.burst) / entries));
+  const int64_t share =
+      std::max<int64_t>(1, tenant.max_concurrent / m_board->live_entries);
+  if (use.concurrent >= share) {
+    internal::EndWithError(m_board, request, ErrorKind::kTenantLimit, kPart,
+                           "too many requests at a time");
+    return false;
+  }
+  if (!use.rate.Take(m_board->now)) {
+    request->retry_after = use.rate.TimeToNext();
+    internal::EndWithError(m_board, request, ErrorKind::kTenantLimit, kPart,
+                           "too many requests a second");
+    return false;
+  }
+  return true;
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/answering.cc
@@ -0,0 +1,74 @@
+#include "burdockhill/src/entry/answering.h"
+
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void Answering::Step() {
+  for (const RequestId& id : std::exchange(m_board->ended, {})) {
+    Request* request = m_board->requests.Find(id);
+    if (request == nullptr) continue;
+    Finish(request);
+    m_board->requests.Erase(id);
+  }
+}
+
+void Answering::Finish(Request* request) {
+  const std::set<AttemptId> legs = request->legs;
+  for (const AttemptId& id : legs) internal::ReleaseLeg(m_board, id);
+  if (request->counted) --m_board->tenant_use[request->tenant].concurrent;
+  Measure(*request);
+  if (request->caller_gone) return;
+  const RequestId id = request->asked.id;
+  const RequestEnd& end = *request->end;
+  if (end.error.has_value()) {
+    m_callers->OnError(id, *end.error);
+  } else if (end.answer.has_value()) {
+    m_callers->OnAnswer(id, end.answer->status, end.answer->content_type,
+                        end.answer->body);
+  } else {
+    m_callers->OnFinished(id, end.finish_reason, request->usage);
+  }
+}
+
+void Answering::Measure(const Request& request) {
+  MetricLabels labels = internal::LabelsOf(request);
+  MetricsRegistry& metrics = m_board->metrics;
+  labels.kind = "ok";
+  if (request.end->error.has_value()) {
+    labels.kind = AnswerFor(request.end->error->kind).type;
+  }
+  metrics.Count("burdockhill_requests_total", labels);
+  labels.kind.clear();
+  const Duration total = m_board->now - request.arrived;
+  metrics.HistogramFor("burdockhill_request_seconds", labels)
+      ->Add(Seconds(total));
+  if (request.end->error.has_value() || !request.first_token_at.has_value()) {
+    return;
+  }
+
+  metrics.Count("burdockhill_output_tokens_total", labels, request.delivered);
+  const Duration decode = m_board->now - *request.first_token_at;
+  const auto gaps = static_cast<int64_t>(request.delivered) - 1;
+  const Duration per_token = gaps > 0 ? decode / gaps : Duration(0);
+  metrics.HistogramFor("burdockhill_per_token_seconds", labels)
+      ->Add(Seconds(per_token));
+  const RoutingPolicy& policy =
+      m_board->configuration->PolicyFor(request.policy);
+  const bool good =
+      *request.first_token_at - request.arrived <= policy.first_token_target &&
+      per_token <= policy.per_token_target;
+  if (good) metrics.Count("burdockhill_good_requests_total", labels);
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/answering.h
@@ -0,0 +1,27 @@
+#ifndef BURDOCKHILL_SRC_ENTRY_ANSWERING_H_
+#define BURDOCKHILL_SRC_ENTRY_ANSWERING_H_
+
+#include "burdockhill/src/entry/entry_blackboard.h"
+
+namespace burdockhill {
+
+// Gives each ended request its one final answer, at once, and has everything
+// that was held for it freed.
+class Answering {
+ public:
+  Answering(EntryBlackboard* board, CallerPort* callers)
+      : m_board(board), m_callers(callers) {}
+
+  void Step();
+
+ private:
+  void Finish(Request* request);
+  void Measure(const Request& request);
+
+  EntryBlackboard* m_board;
+  CallerPort* m_callers;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ENTRY_ANSWERING_H_
--- /dev/null
+++ b/burdockhill/src/entry/deadlines.h
@@ -0,0 +1,25 @@
+#ifndef BURDOCKHILL_SRC_ENTRY_DEADLINES_H_
+#define BURDOCKHILL_SRC_ENTRY_DEADLINES_H_
+
+#include "burdockhill/src/entry/entry_blackboard.h"
+
+namespace burdockhill {
+
+// Ends requests that have run out of time, and counts upstreams that stopped
+// in the middle of an answer as failed.
+class Deadlines {
+ public:
+  explicit Deadlines(EntryBlackboard* board) : m_board(board) {}
+
+  void Step();
+
+ private:
+  void Check(Request* request);
+
+  EntryBlackboard* m_board;
+  TimePoint m_next_check{};
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ENTRY_DEADLINES_H_
--- /dev/null
+++ b/burdockhill/src/entry/entry_configuration.cc
@@ -0,0 +1,189 @@
+#include "burdockhill/src/entry/entry_configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockhill {
+
+namespace {
+
+constexpr Duration kFirstWatchDelay = std::chrono::milliseconds(200);
+constexpr Duration kLongestWatchDelay = std::chrono::seconds(5);
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+// Contents kept besides the one in force.
+constexpr size_t kMaxContents = 4;
+
+}  // namespace
+
+void EntryConfiguration::OnPeerUp(const Hello& peer) {
+  if (peer.role == Role::kAgent) OfferTo(peer.vm);
+  if (peer.role == Role::kEntry) {
+    m_peers->Send(peer.vm, ConfigurationOffer{m_board->in_force, true,
+                                              m_board->in_force_content});
+  }
+}
+
+void EntryConfiguration::OnOffer(const VmName& from,
+                                 const ConfigurationOffer& offer) {
+  if (offer.generation < m_board->in_force) {
+    // The peer is behind; it is told what is in force.
+    m_peers->Send(from, ConfigurationOffer{m_board->in_force, true,
+                                           m_board->in_force_content});
+    return;
+  }
+  if (!offer.accepted || offer.generation <= m_board->in_force) return;
+  if (!offer.content.empty()) m_contents[offer.generation] = offer.content;
+  m_accepted = std::max(m_accepted, offer.generation);
+  PutInForce(m_accepted);
+}
+
+void EntryConfiguration::Step() {
+  if (!m_watching && m_board->now >= m_next_watch) Watch();
+  if (m_board->now < m_next_report) return;
+  m_next_report = m_board->now + kReportInterval;
+  Report();
+}
+
+void EntryConfiguration::Watch() {
+  m_watching = true;
+  m_store->Watch(
+      {kConfigurationKind}, m_revision,
+      [this](StoreStatus status, const std::vector<StoredObject>& changes,
+             uint64_t revision) {
+        m_watching = false;
+        if (status != StoreStatus::kOk) {
+          m_watch_delay = std::clamp(m_watch_delay * 2, kFirstWatchDelay,
+                                     kLongestWatchDelay);
+          m_next_watch = m_board->now + m_board->random->Jitter(m_watch_delay);
+          return;
+        }
+        m_watch_delay = Duration(0);
+        m_revision = std::max(m_revision, revision);
+        for (const StoredObject& object : changes) {
+          if (object.key != ConfigurationStateKey()) continue;
+          const auto state = ParseState(object.value);
+          if (state.has_value()) OnState(*state);
+        }
+      });
+}
+
+void EntryConfiguration::OnState(const ConfigurationStateObject& state) {
+  m_board->coordinator = state.coordinator;
+  m_accepted = std::max(m_accepted, state.accepted);
+  for (const Generation generation : {state.accepted, state.staged}) {
+    const bool wanted =
+        generation > m_board->in_force && !m_contents.contains(generation);
+    if (wanted) Fetch(generation);
+  }
+  PutInForce(m_accepted);
+}
+
+void EntryConfiguration::Fetch(Generation generation) {
+  if (m_fetching[generation]) return;
+  m_fetching[generation] = true;
+  m_store->Get(
+      ConfigurationContentKey(generation),
+      [this, generation](StoreStatus status, const StoredObject& object) {
+        m_fetching.erase(generation);
+        if (status == StoreStatus::kOk) {
+          Stage(generation, object.value);
+        } else {
+          // Reads the state again, and with it what to fetch.
+          m_revision = 0;
+        }
+      });
+}
+
+void EntryConfiguration::Stage(Generation generation,
+                               const std::string& content) {
+  FieldErrors errors;
+  if (!ParseConfiguration(content, &errors).has_value()) return;
+  m_contents[generation] = content;
+  while (m_contents.size() > kMaxContents) m_contents.erase(m_contents.begin());
+  if (generation > m_board->staged) {
+    m_board->staged = generation;
+    m_board->staged_content = content;
+  }
+  PutInForce(m_accepted);
+  OfferToAgents();
+  Report();
+}
+
+void EntryConfiguration::PutInForce(Generation generation) {
+  if (generation <= m_board->in_force) return;
+  const auto found = m_contents.find(generation);
+  if (found == m_contents.end()) return;
+  FieldErrors errors;
+  std::optional<Configuration> parsed =
+      ParseConfiguration(found->second, &errors);
+  if (!parsed.has_value()) return;
+  m_board->configuration =
+      std::make_shared<const Configuration>(*std::move(parsed));
+  m_board->in_force = generation;
+  m_board->staged = std::max(m_board->staged, generation);
+  m_board->in_force_content = found->second;
+  m_contents.erase(m_contents.begin(), m_contents.upper_bound(generation));
+  OfferToAgents();
+  Report();
+}
+
+void EntryConfiguration::OfferToAgents() {
+  for (const auto& [vm, view] : m_board->upstreams) {
+    if (view.state == PeerState::kUp) OfferTo(vm);
+  }
+}
+
+void EntryConfiguration::OfferTo(const VmName& agent) {
+  if (m_board->in_force.IsValid()) {
+    m_peers->Send(
+        agent, ConfigurationOffer{m_board->in_force, true,
+                                  PartFor(m_board->in_force_content, agent)});
+  }
+  if (m_board->staged > m_board->in_force) {
+    m_peers->Send(agent,
+                  ConfigurationOffer{m_board->staged, false,
+                                     PartFor(m_board->staged_content, agent)});
+  }
+}
+
+std::string EntryConfiguration::PartFor(const std::string& content,
+                                        const VmName& vm) const {
+  FieldErrors errors;
+  const std::vector<ResourceText> all = ParseResourceFile(content, &errors);
+  const std::optional<Configuration> parsed =
+      ParseConfiguration(content, &errors);
+  if (!parsed.has_value()) return {};
+  const Upstream* upstream = parsed->UpstreamOnVm(vm);
+  std::vector<ResourceText> part;
+  for (const ResourceText& resource : all) {
+    const bool is_upstream = resource.key.kind == "Upstream" &&
+                             upstream != nullptr &&
+                             resource.key.name == upstream->name.Value();
+    const bool is_service = (resource.key.kind == "ModelService" ||
+                             resource.key.kind == "PlainService") &&
+                            upstream != nullptr &&
+                            resource.key.name == upstream->service.Value();
+    const bool is_policy = resource.key.kind == "RoutingPolicy";
+    if (is_upstream || is_service || is_policy) part.push_back(resource);
+  }
+  return ComposeConfiguration(part);
+}
+
+// The coordinator also counts agents, which it may not be connected to.
+void EntryConfiguration::Report() {
+  m_board->generations[m_board->self.vm] = {m_board->staged, m_board->in_force,
+                                            m_board->now};
+  if (!m_board->coordinator.has_value() ||
+      *m_board->coordinator == m_board->self.vm) {
+    return;
+  }
+  ConfigurationState report;
+  report.vms.push_back({m_board->self.vm, m_board->staged, m_board->in_force});
+  for (const auto& [vm, view] : m_board->upstreams) {
+    if (view.state != PeerState::kUp || !view.report.has_value()) continue;
+    report.vms.push_back({vm, view.report->staged, view.report->in_force});
+  }
+  m_peers->Send(*m_board->coordinator, std::move(report));
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/entry_core.cc
@@ -0,0 +1,118 @@
+#include "burdockhill/src/entry/entry_core.h"
+
+#include <cassert>
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+EntryCore::EntryCore(const EntryIdentity& self, const Clock* clock,
+                     Random* random, PeerLink* peers, ObjectStore* store,
+                     CallerPort* callers)
+    : m_clock(clock),
+      m_peers(peers),
+      m_board(random),
+      m_membership(&m_board, peers, store),
+      m_configuration(&m_board, peers, store),
+      m_coordinator(&m_board, peers, store),
+      m_admission(&m_board),
+      m_placement(&m_board, peers),
+      m_prefill(&m_board, peers),
+      m_streaming(&m_board, peers, callers),
+      m_retrying(&m_board),
+      m_deadlines(&m_board),
+      m_answering(&m_board, callers),
+      m_releasing(&m_board, peers) {
+  m_board.self = self;
+  Touch();
+}
+
+void EntryCore::Submit(CallerRequest asked) {
+  Touch();
+  assert(asked.id.IsValid() && "draw a request id before submitting");
+  Request& request = m_board.requests.FindOrInsert(asked.id);
+  request.asked = std::move(asked);
+  request.arrived = m_board.now;
+  request.progress_at = m_board.now;
+  m_board.arrived.push_back(request.asked.id);
+}
+
+void EntryCore::OnCallerGone(RequestId id) {
+  Touch();
+  Request* request = m_board.requests.Find(id);
+  if (request == nullptr) return;
+  request->caller_gone = true;
+  internal::EndWithError(&m_board, request, ErrorKind::kCallerGone, "caller");
+}
+
+void EntryCore::Leave() { m_board.leaving = true; }
+
+void EntryCore::Step() {
+  // Facts that one controller leaves for an earlier one are worked off in the
+  // next pass; a request passes through few of them.
+  constexpr int kMaxPasses = 8;
+  Touch();
+  m_membership.Step();
+  m_configuration.Step();
+  m_coordinator.Step();
+  m_deadlines.Step();
+  for (int pass = 0; pass < kMaxPasses; ++pass) {
+    m_retrying.Step();
+    m_admission.Step();
+    m_placement.Step();
+    m_prefill.Step();
+    m_streaming.Step();
+    m_answering.Step();
+    if (!HasFacts()) break;
+  }
+  m_releasing.Step();
+}
+
+bool EntryCore::HasFacts() const {
+  return !m_board.attempt_ends.empty() || !m_board.lost_agents.empty() ||
+         !m_board.arrived.empty() || !m_board.to_place.empty() ||
+         !m_board.to_prefill.empty() || !m_board.to_decode.empty() ||
+         !m_board.ended.empty();
+}
+
+void EntryCore::OnPeerUp(const Hello& peer) {
+  Touch();
+  m_membership.OnPeerUp(peer);
+  m_configuration.OnPeerUp(peer);
+}
+
+void EntryCore::OnPeerDown(const VmName& vm) {
+  Touch();
+  m_membership.OnPeerDown(vm);
+}
+
+void EntryCore::OnMessage(const VmName& from, const Message& message) {
+  Touch();
+  m_membership.OnHeard(from);
+  if (const auto* m = std::get_if<StreamChunk>(&message)) {
+    m_streaming.OnChunk(from, *m);
+  } else if (const auto* m = std::get_if<ReserveGranted>(&message)) {
+    m_placement.OnGranted(from, *m);
+  } else if (const auto* m = std::get_if<PrefillDone>(&message)) {
+    m_prefill.OnPrefilled(from, *m);
+  } else if (const auto* m = std::get_if<CallAnswered>(&message)) {
+    m_streaming.OnAnswered(*m);
+  } else if (const auto* m = std::get_if<AttemptRefused>(&message)) {
+    m_retrying.OnRefused(from, *m);
+  } else if (const auto* m = std::get_if<AttemptFailed>(&message)) {
+    m_retrying.OnFailed(from, *m);
+  } else if (const auto* m = std::get_if<AttemptReleased>(&message)) {
+    m_retrying.OnReleased(from, *m);
+  } else if (const auto* m = std::get_if<LoadReport>(&message)) {
+    m_membership.OnLoadReport(from, *m);
+  } else if (const auto* m = std::get_if<Heartbeat>(&message)) {
+    if (!m->reply) m_peers->Send(from, Heartbeat{m->sequence, true});
+  } else if (const auto* m = std::get_if<ConfigurationOffer>(&message)) {
+    m_configuration.OnOffer(from, *m);
+  } else if (const auto* m = std::get_if<ConfigurationState>(&message)) {
+    m_coordinator.OnState(from, *m);
+  }
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/entry_core.h
@@ -0,0 +1,80 @@
+#ifndef BURDOCKHILL_SRC_ENTRY_ENTRY_CORE_H_
+#define BURDOCKHILL_SRC_ENTRY_ENTRY_CORE_H_
+
+#include "burdockhill/src/entry/admission.h"
+#include "burdockhill/src/entry/answering.h"
+#include "burdockhill/src/entry/caller_port.h"
+#include "burdockhill/src/entry/configuration_coordinator.h"
+#include "burdockhill/src/entry/deadlines.h"
+#include "burdockhill/src/entry/entry_blackboard.h"
+#include "burdockhill/src/entry/entry_configuration.h"
+#include "burdockhill/src/entry/membership.h"
+#include "burdockhill/src/entry/placement.h"
+#include "burdockhill/src/entry/prefill_dispatch.h"
+#include "burdockhill/src/entry/releasing.h"
+#include "burdockhill/src/entry/retrying.h"
+#include "burdockhill/src/entry/streaming.h"
+#include "burdockhill/src/peer/peer_link.h"
+
+namespace burdockhill {
+
+// The entry without I/O: a blackboard and its controllers. Feed it events and
+// call Step after each batch of them and at least every 20 ms.
+class EntryCore : public PeerEvents {
+ public:
+  EntryCore(const EntryIdentity& self, const Clock* clock, Random* random,
+            PeerLink* peers, ObjectStore* store, CallerPort* callers);
+
+  // Takes a request; it is answered through the caller port.
+  void Submit(CallerRequest request);
+
+  // The caller has closed; everything held for the request is freed.
+  void OnCallerGone(RequestId id);
+
+  // Starts a graceful shutdown: new requests are refused from now on.
+  void Leave();
+
+  // Whether callers can be served: a configuration is in force.
+  bool IsReady() const {
+    return m_board.configuration != nullptr && !m_board.leaving;
+  }
+
+  // Whether nothing is left that a stop would cut off.
+  bool IsIdle() const {
+    return m_board.requests.Size() == 0 && m_board.legs.Size() == 0;
+  }
+
+  bool IsCoordinator() const { return m_coordinator.IsHolder(); }
+
+  void Step();
+
+  const EntryBlackboard& Board() const { return m_board; }
+
+  // PeerEvents:
+  void OnPeerUp(const Hello& peer) override;
+  void OnPeerDown(const VmName& vm) override;
+  void OnMessage(const VmName& from, const Message& message) override;
+
+ private:
+  void Touch() { m_board.now = m_clock->Now(); }
+  bool HasFacts() const;
+
+  const Clock* m_clock;
+  PeerLink* m_peers;
+  EntryBlackboard m_board;
+  Membership m_membership;
+  EntryConfiguration m_configuration;
+  ConfigurationCoordinator m_coordinator;
+  Admission m_admission;
+  Placement m_placement;
+  PrefillDispatch m_prefill;
+  Streaming m_streaming;
+  Retrying m_retrying;
+  Deadlines m_deadlines;
+  Answering m_answering;
+  Releasing m_releasing;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ENTRY_ENTRY_CORE_H_
--- /dev/null
+++ b/burdockhill/src/entry/membership.cc
@@ -0,0 +1,159 @@
+#include "burdockhill/src/entry/membership.h"
+
+#include <algorithm>
+#include <set>
+
+namespace burdockhill {
+
+namespace {
+
+constexpr Duration kListInterval = std::chrono::seconds(5);
+// A connection on which nothing has come for so long is asked for a sign.
+constexpr Duration kHeartbeatAfter = std::chrono::seconds(1);
+// After so long without a sign a new connection is tried.
+constexpr Duration kSilentAfter = std::chrono::seconds(3);
+// After so long without success the attempts at the agent are given up.
+constexpr Duration kLostAfter = std::chrono::seconds(3);
+// A step that comes so late means that this process was paused.
+constexpr Duration kPauseGap = std::chrono::seconds(1);
+
+}  // namespace
+
+void Membership::OnPeerUp(const Hello& peer) {
+  if (peer.role == Role::kEntry) {
+    m_board->entry_peers[peer.vm] = m_board->now;
+    return;
+  }
+  const auto found = m_board->upstreams.find(peer.vm);
+  if (found == m_board->upstreams.end()) return;
+  UpstreamView& view = found->second;
+  const bool same = view.incarnation == peer.incarnation;
+  view.incarnation = peer.incarnation;
+  view.zone = peer.zone;
+  view.region = peer.region;
+  view.state = PeerState::kUp;
+  view.last_heard = m_board->now;
+  if (same) {
+    m_board->resumed_agents.push_back(peer.vm);
+  } else {
+    view.report.reset();
+    m_board->lost_agents.push_back(peer.vm);
+  }
+}
+
+void Membership::OnPeerDown(const VmName& vm) {
+  m_board->entry_peers.erase(vm);
+  const auto found = m_board->upstreams.find(vm);
+  if (found == m_board->upstreams.end()) return;
+  UpstreamView& view = found->second;
+  if (view.state != PeerState::kUp) return;
+  view.state = PeerState::kSilent;
+  view.silent_since = m_board->now;
+}
+
+void Membership::OnHeard(const VmName& vm) {
+  const auto entry = m_board->entry_peers.find(vm);
+  if (entry != m_board->entry_peers.end()) entry->second = m_board->now;
+  const auto found = m_board->upstreams.find(vm);
+  if (found == m_board->upstreams.end()) return;
+  found->second.last_heard = m_board->now;
+  if (found->second.state == PeerState::kSilent) {
+    found->second.state = PeerState::kUp;
+  }
+}
+
+void Membership::OnLoadReport(const VmName& vm, const LoadReport& report) {
+  const auto found = m_board->upstreams.find(vm);
+  if (found == m_board->upstreams.end()) return;
+  UpstreamView& view = found->second;
+  view.report = report;
+  view.decodes_since_report = 0;
+  view.prefill_since_report = Tokens(0);
+  m_board->generations[vm] = {report.staged, report.in_force, m_board->now};
+}
+
+void Membership::Step() {
+  const bool was_paused =
+      m_last_step != TimePoint() && m_board->now - m_last_step > kPauseGap;
+  m_last_step = m_board->now;
+  if (m_board->now >= m_next_list) {
+    m_next_list = m_board->now + kListInterval;
+    RefreshList();
+  }
+  for (auto& [vm, view] : m_board->upstreams) {
+    // Whoever was not read for a while cannot call others silent.
+    if (was_paused) {
+      view.last_heard = m_board->now;
+      view.silent_since = m_board->now;
+    }
+    CheckSilence(&view);
+  }
+}
+
+void Membership::RefreshList() {
+  m_store->ListVms(
+      [this](StoreStatus status, const std::vector<ListedVm>& vms) {
+        if (status == StoreStatus::kOk) ApplyList(vms);
+      });
+}
+
+void Membership::ApplyList(const std::vector<ListedVm>& vms) {
+  m_board->listed_vms = vms;
+  for (auto& [name, view] : m_board->upstreams) view.listed = false;
+  int64_t entries = 0;
+  for (const ListedVm& vm : vms) {
+    if (vm.role == Role::kEntry) ++entries;
+    if (!IsWanted(vm)) continue;
+    const bool is_new = !m_board->upstreams.contains(vm.name);
+    UpstreamView& view = m_board->upstreams[vm.name];
+    view.listed = true;
+    view.list_leaving = vm.leaving;
+    if (!is_new && view.address == vm.peer_address) continue;
+    view.vm = vm.name;
+    view.zone = vm.zone;
+    view.region = vm.region;
+    view.address = vm.peer_address;
+    m_peers->Connect(vm.name, vm.peer_address);
+  }
+  m_board->live_entries = std::max<int64_t>(1, entries);
+  // The list lags: an agent that is not on it is kept for as long as it is
+  // heard of.
+  std::vector<VmName> gone;
+  for (const auto& [name, view] : m_board->upstreams) {
+    if (!view.listed && view.state != PeerState::kUp) gone.push_back(name);
+  }
+  for (const VmName& name : gone) {
+    m_board->lost_agents.push_back(name);
+    m_board->upstreams.erase(name);
+    m_peers->Disconnect(name);
+  }
+}
+
+bool Membership::IsWanted(const ListedVm& vm) const {
+  return vm.role == Role::kAgent;
+}
+
+void Membership::CheckSilence(UpstreamView* view) {
+  const TimePoint now = m_board->now;
+  if (view->state == PeerState::kUp) {
+    const Duration quiet = now - view->last_heard;
+    if (quiet > kSilentAfter) {
+      view->state = PeerState::kSilent;
+      view->silent_since = now;
+      m_peers->Connect(view->vm, view->address);
+      return;
+    }
+    if (quiet > kHeartbeatAfter && now >= view->next_heartbeat) {
+      view->next_heartbeat = now + kHeartbeatAfter;
+      m_peers->Send(view->vm, Heartbeat{++m_heartbeats, false});
+    }
+    return;
+  }
+  if (view->state == PeerState::kSilent &&
+      now - view->silent_since > kLostAfter) {
+    view->state = PeerState::kDown;
+    m_board->lost_agents.push_back(view->vm);
+  }
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/membership.h
@@ -0,0 +1,40 @@
+#ifndef BURDOCKHILL_SRC_ENTRY_MEMBERSHIP_H_
+#define BURDOCKHILL_SRC_ENTRY_MEMBERSHIP_H_
+
+#include "burdockhill/src/entry/entry_blackboard.h"
+#include "burdockhill/src/peer/peer_link.h"
+
+namespace burdockhill {
+
+// Knows which agents there are and which of them can be used. The platform's
+// list, which lags, says whom to connect to; what is heard first-hand says who
+// works. A silent connection is first replaced by a new one; only when that
+// stays silent too are the attempts there given up.
+class Membership {
+ public:
+  Membership(EntryBlackboard* board, PeerLink* peers, ObjectStore* store)
+      : m_board(board), m_peers(peers), m_store(store) {}
+
+  void OnPeerUp(const Hello& peer);
+  void OnPeerDown(const VmName& vm);
+  void OnHeard(const VmName& vm);
+  void OnLoadReport(const VmName& vm, const LoadReport& report);
+  void Step();
+
+ private:
+  void RefreshList();
+  void ApplyList(const std::vector<ListedVm>& vms);
+  bool IsWanted(const ListedVm& vm) const;
+  void CheckSilence(UpstreamView* view);
+
+  EntryBlackboard* m_board;
+  PeerLink* m_peers;
+  ObjectStore* m_store;
+  TimePoint m_next_list{};
+  TimePoint m_last_step{};
+  uint64_t m_heartbeats = 0;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ENTRY_MEMBERSHIP_H_
--- /dev/null
+++ b/burdockhill/src/entry/placement.cc
@@ -0,0 +1,188 @@
+#include "burdockhill/src/entry/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+namespace {
+
+constexpr char kPart[] = "placement";
+// Agents that are asked for a decode slot at the same time.
+constexpr size_t kReservations = 2;
+// An upstream in another zone counts as fuller by this share of its slots.
+constexpr double kOtherZonePenalty = 0.05;
+// Random part of the score, so that entries do not all choose alike.
+constexpr double kScoreJitter = 0.02;
+// Share of the wait for the first token that is left to prefill and transfer.
+constexpr int64_t kPrefillShareDivisor = 4;
+
+// Share of the decode slots that are taken or wanted; over 1 for a queue.
+// Negative when the upstream has no working decode engine.
+double DecodeFullness(const UpstreamView& view) {
+  int64_t slots = 0;
+  int64_t wanted = view.decodes_since_report;
+  for (const EngineLoad& engine : view.report->engines) {
+    if (engine.role != EngineRole::kDecode || !engine.healthy) continue;
+    slots += engine.slots;
+    wanted += engine.running;
+    wanted += slots == engine.slots ? engine.waiting : 0;
+  }
+  if (slots == 0) return -1.0;
+  return static_cast<double>(wanted) / static_cast<double>(slots);
+}
+
+double CallFullness(const UpstreamView& view) {
+  if (view.report->engines.empty()) return -1.0;
+  const EngineLoad& back_end = view.report->engines.front();
+  if (!back_end.healthy) return -1.0;
+  constexpr double kScale = 0.01;
+  return kScale *
+         static_cast<double>(back_end.running + view.decodes_since_report);
+}
+
+}  // namespace
+
+void Placement::Step() {
+  for (const RequestId& id : std::exchange(m_board->to_place, {})) {
+    Request* request = m_board->requests.Find(id);
+    if (request == nullptr || request->phase != RequestPhase::kWaiting)
+      continue;
+    ++request->rounds;
+    if (request->asked.plain) {
+      PlaceCall(request);
+    } else {
+      PlaceModel(request);
+    }
+  }
+}
+
+void Placement::OnGranted(const VmName& from, const ReserveGranted& granted) {
+  Request* request = internal::RequestOf(m_board, granted.attempt);
+  if (request == nullptr) {
+    const Leg* leg = m_board->legs.Find(granted.attempt);
+    if (leg == nullptr) m_peers->Send(from, CancelAttempt{granted.attempt});
+    return;
+  }
+  if (request->decode == granted.attempt) return;
+  if (request->phase != RequestPhase::kReserving) {
+    internal::ReleaseLeg(m_board, granted.attempt);
+    return;
+  }
+  request->phase = RequestPhase::kPrefilling;
+  request->decode = granted.attempt;
+  const std::set<AttemptId> legs = request->legs;
+  for (const AttemptId& other : legs) {
+    if (other != granted.attempt) internal::ReleaseLeg(m_board, other);
+  }
+  internal::Note(m_board, request->asked.id, kPart,
+                 "decode slot granted by " + from.Value() + " on " +
+                     granted.engine.Value() + " after " +
+                     internal::Milliseconds(m_board->now - request->arrived));
+  m_board->to_prefill.push_back(request->asked.id);
+}
+
+void Placement::PlaceModel(Request* request) {
+  const std::vector<UpstreamView*> candidates = Candidates(*request);
+  if (candidates.empty()) return GiveUp(request);
+  // A request that has delivered tokens is never given up for lateness.
+  const Duration left = request->delivered > 0
+                            ? Duration(std::chrono::seconds(5))
+                            : request->first_token_by - m_board->now;
+  const Duration wait_budget = left - left / kPrefillShareDivisor;
+  if (wait_budget <= Duration(0)) {
+    return internal::EndWithError(m_board, request,
+                                  ErrorKind::kDeadlineInfeasible, kPart);
+  }
+  request->phase = RequestPhase::kReserving;
+  request->progress_at = m_board->now;
+  std::string asked;
+  const size_t count = std::min(kReservations, candidates.size());
+  for (size_t i = 0; i < count; ++i) {
+    UpstreamView* view = candidates[i];
+    const Leg& leg =
+        internal::AddLeg(m_board, request, view->vm, LegKind::kDecode);
+    ++view->decodes_since_report;
+    ReserveDecode order;
+    order.attempt = leg.id;
+    order.service = request->asked.service;
+    order.request_class = request->request_class;
+    order.prompt = request->asked.prompt_tokens;
+    order.expected_output = request->max_output;
+    order.wait_budget = wait_budget;
+    m_peers->Send(view->vm, order);
+    asked += (i == 0 ? "" : " and ") + view->vm.Value();
+  }
+  internal::Note(m_board, request->asked.id, kPart,
+                 "asked " + asked + " of " + std::to_string(candidates.size()) +
+                     " for a decode slot within " +
+                     internal::Milliseconds(wait_budget));
+}
+
+void Placement::PlaceCall(Request* request) {
+  const std::vector<UpstreamView*> candidates = Candidates(*request);
+  if (candidates.empty()) return GiveUp(request);
+  UpstreamView* view = candidates.front();
+  const Leg& leg = internal::AddLeg(m_board, request, view->vm, LegKind::kCall);
+  request->phase = RequestPhase::kCalling;
+  request->progress_at = m_board->now;
+  ++request->unproved_runs;
+  ++view->decodes_since_report;
+  const PlainService& service =
+      m_board->configuration->plain_services.at(request->asked.service);
+  CallService call;
+  call.attempt = leg.id;
+  call.service = request->asked.service;
+  call.method = request->asked.method;
+  call.path = request->asked.path;
+  call.content_type = request->asked.content_type;
+  call.idempotency_key = request->asked.idempotency_key;
+  call.body = request->asked.body;
+  call.timeout = service.timeout;
+  m_peers->Send(view->vm, std::move(call));
+  internal::Note(m_board, request->asked.id, kPart,
+                 "sent to " + view->vm.Value() + ", 1 of " +
+                     std::to_string(candidates.size()));
+}
+
+std::vector<UpstreamView*> Placement::Candidates(const Request& request) const {
+  struct Scored {
+    double score;
+    UpstreamView* view;
+  };
+  std::vector<Scored> local;
+  std::vector<Scored> remote;
+  for (auto& [vm, view] : m_board->upstreams) {
+    if (!view.IsUsable() || request.avoid.contains(vm)) continue;
+    if (view.report->service != request.asked.service) continue;
+    const double fullness =
+        request.asked.plain ? CallFullness(view) : DecodeFullness(view);
+    if (fullness < 0.0) continue;
+    const double zone =
+        view.zone == m_board->self.zone ? 0.0 : kOtherZonePenalty;
+    const double score =
+        fullness + zone + kScoreJitter * m_board->random->Unit();
+    const bool is_local = view.region == m_board->self.region;
+    (is_local ? local : remote).push_back({score, &view});
+  }
+  const RoutingPolicy& policy =
+      m_board->configuration->PolicyFor(request.policy);
+  const bool may_leave = policy.region_rule == RegionRule::kPreferLocal;
+  std::vector<Scored>& chosen = local.empty() && may_leave ? remote : local;
+  std::sort(chosen.begin(), chosen.end(),
+            [](const Scored& a, const Scored& b) { return a.score < b.score; });
+  std::vector<UpstreamView*> views;
+  views.reserve(chosen.size());
+  for (const Scored& scored : chosen) views.push_back(scored.view);
+  return views;
+}
+
+void Placement::GiveUp(Request* request) {
+  const ErrorKind kind =
+      request->avoid.empty() ? ErrorKind::kNoUpstream : ErrorKind::kOverloaded;
+  internal::EndWithError(m_board, request, kind, kPart);
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/prefill_dispatch.cc
@@ -0,0 +1,128 @@
+#include "burdockhill/src/entry/prefill_dispatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+namespace {
+
+constexpr char kPart[] = "prefill";
+constexpr Duration kOtherZoneCost = std::chrono::milliseconds(1);
+constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
+
+// The prompt, and after it what the caller was given already, so that an
+// answer that broke off goes on where it stopped.
+std::string TextOf(const Request& request) {
+  return request.asked.prompt + request.delivered_text;
+}
+
+}  // namespace
+
+void PrefillDispatch::Step() {
+  for (const RequestId& id : std::exchange(m_board->to_prefill, {})) {
+    Request* request = m_board->requests.Find(id);
+    const bool waits = request != nullptr &&
+                       request->phase == RequestPhase::kPrefilling &&
+                       !request->prefill.has_value();
+    if (waits) Dispatch(request);
+  }
+}
+
+void PrefillDispatch::OnPrefilled(const VmName& from, const PrefillDone& done) {
+  Request* request = internal::RequestOf(m_board, done.attempt);
+  if (request == nullptr || request->phase != RequestPhase::kPrefilling ||
+      request->prefill != done.attempt) {
+    return;
+  }
+  request->progress_at = m_board->now;
+  request->usage.prompt = done.prompt;
+  request->usage.reused = done.reused;
+  m_prefixes.Correct(request->asked.service, request->asked.prompt, from,
+                     done.reused);
+  m_prefixes.Record(request->asked.service, request->asked.prompt, from);
+  request->kv_handle = done.kv_handle;
+  request->kv_source = done.kv_source;
+  request->phase = RequestPhase::kDecoding;
+  m_board->to_decode.push_back(request->asked.id);
+  m_board->metrics.Count("burdockhill_prefill_tokens_total", {},
+                         static_cast<uint64_t>(done.prompt.Value()));
+  m_board->metrics.Count("burdockhill_prefill_reused_tokens_total", {},
+                         static_cast<uint64_t>(done.reused.Value()));
+  internal::Note(m_board, request->asked.id, kPart,
+                 std::to_string(done.prompt.Value()) + " tokens computed by " +
+                     from.Value() + ", " + std::to_string(done.reused.Value()) +
+                     " of them cached");
+}
+
+void PrefillDispatch::Dispatch(Request* request) {
+  UpstreamView* best = nullptr;
+  Duration best_time{0};
+  for (auto& [vm, view] : m_board->upstreams) {
+    if (request->avoid.contains(vm)) continue;
+    const std::optional<Duration> time = TimeToReady(view, *request);
+    if (!time.has_value()) continue;
+    if (best == nullptr || *time < best_time) {
+      best = &view;
+      best_time = *time;
+    }
+  }
+  if (best == nullptr) {
+    return internal::EndWithError(m_board, request, ErrorKind::kNoUpstream,
+                                  kPart, "no prefill engine");
+  }
+  const Leg& leg =
+      internal::AddLeg(m_board, request, best->vm, LegKind::kPrefill);
+  request->prefill = leg.id;
+  request->progress_at = m_board->now;
+  ++request->unproved_runs;
+  best->prefill_since_report += request->asked.prompt_tokens;
+  StartPrefill order;
+  order.attempt = leg.id;
+  order.service = request->asked.service;
+  order.request_class = request->request_class;
+  order.prompt = request->asked.prompt_tokens;
+  order.text = TextOf(*request);
+  order.parameters = request->asked.parameters;
+  order.wait_budget =
+      std::max(Duration(0), request->first_token_by - m_board->now);
+  if (request->delivered > 0) order.wait_budget = std::chrono::seconds(5);
+  m_peers->Send(best->vm, std::move(order));
+  internal::Note(m_board, request->asked.id, kPart,
+                 "prompt sent to " + best->vm.Value() + ", expected in " +
+                     internal::Milliseconds(best_time));
+}
+
+std::optional<Duration> PrefillDispatch::TimeToReady(
+    const UpstreamView& view, const Request& request) const {
+  if (!view.IsUsable() || view.report->service != request.asked.service) {
+    return std::nullopt;
+  }
+  // The KV cache never crosses the region link, so both phases of a request
+  // run in the region of its decode slot.
+  const Leg* decode = m_board->legs.Find(*request.decode);
+  const auto decode_view = m_board->upstreams.find(decode->vm);
+  if (decode_view == m_board->upstreams.end() ||
+      decode_view->second.region != view.region) {
+    return std::nullopt;
+  }
+  int64_t rate = 0;
+  int64_t queued = view.prefill_since_report.Value();
+  for (const EngineLoad& engine : view.report->engines) {
+    if (engine.role != EngineRole::kPrefill || !engine.healthy) continue;
+    rate += engine.prefill_rate;
+    queued += engine.queued_prefill.Value();
+  }
+  if (rate <= 0) return std::nullopt;
+  const Tokens cached = m_prefixes.ExpectedReuse(request.asked.service,
+                                                 request.asked.prompt, view.vm);
+  const int64_t own =
+      std::max<int64_t>(0, (request.asked.prompt_tokens - cached).Value());
+  Duration time((queued + own) * kMicrosecondsPerSecond / rate);
+  if (view.zone != decode_view->second.zone) time += kOtherZoneCost;
+  return time;
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/prefill_dispatch.h
@@ -0,0 +1,34 @@
+#ifndef BURDOCKHILL_SRC_ENTRY_PREFILL_DISPATCH_H_
+#define BURDOCKHILL_SRC_ENTRY_PREFILL_DISPATCH_H_
+
+#include "burdockhill/src/entry/entry_blackboard.h"
+#include "burdockhill/src/entry/prefix_directory.h"
+#include "burdockhill/src/peer/peer_link.h"
+
+namespace burdockhill {
+
+// Sends the prompt of each request that has a decode slot to the prefill
+// upstream where it is expected to be ready first: least work ahead of it,
+// most of it in the prefix cache, nearest zone.
+class PrefillDispatch {
+ public:
+  PrefillDispatch(EntryBlackboard* board, PeerLink* peers)
+      : m_board(board), m_peers(peers) {}
+
+  void OnPrefilled(const VmName& from, const PrefillDone& done);
+  void Step();
+
+ private:
+  void Dispatch(Request* request);
+  // Time until `view` would have the prompt ready; nullopt if it cannot.
+  std::optional<Duration> TimeToReady(const UpstreamView& view,
+                                      const Request& request) const;
+
+  EntryBlackboard* m_board;
+  PeerLink* m_peers;
+  PrefixDirectory m_prefixes;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ENTRY_PREFILL_DISPATCH_H_
--- /dev/null
+++ b/burdockhill/src/entry/retrying.cc
@@ -0,0 +1,160 @@
+#include "burdockhill/src/entry/retrying.h"
+
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+namespace {
+constexpr char kPart[] = "retry";
+}  // namespace
+
+void Retrying::OnRefused(const VmName& from, const AttemptRefused& refused) {
+  if (refused.kind == ErrorKind::kLeaving) {
+    const auto view = m_board->upstreams.find(from);
+    if (view != m_board->upstreams.end() && view->second.report.has_value()) {
+      view->second.report->leaving = true;
+    }
+  }
+  m_board->attempt_ends.push_back(
+      {refused.attempt, from, refused.kind, false, refused.retry_after});
+}
+
+void Retrying::OnFailed(const VmName& from, const AttemptFailed& failed) {
+  m_board->attempt_ends.push_back(
+      {failed.attempt, from, failed.kind, true, Duration(0)});
+}
+
+void Retrying::OnReleased(const VmName& from, const AttemptReleased& released) {
+  const Leg* leg = m_board->legs.Find(released.attempt);
+  if (leg == nullptr) return;
+  if (leg->releasing) {
+    m_board->legs.Erase(released.attempt);
+    return;
+  }
+  // The agent let go of an attempt that this entry still wants: its hold has
+  // lapsed, for instance while this process was paused.
+  m_board->attempt_ends.push_back(
+      {released.attempt, from, ErrorKind::kUpstreamSilent, true, Duration(0)});
+}
+
+void Retrying::Step() {
+  for (const VmName& vm : std::exchange(m_board->lost_agents, {})) {
+    LoseAttemptsAt(vm);
+  }
+  for (const AttemptEnd& end : std::exchange(m_board->attempt_ends, {})) {
+    Handle(end);
+  }
+}
+
+void Retrying::LoseAttemptsAt(const VmName& vm) {
+  for (const auto& [id, leg] : m_board->legs) {
+    if (leg.vm != vm || leg.releasing) continue;
+    m_board->attempt_ends.push_back(
+        {id, vm, ErrorKind::kUpstreamSilent, true, Duration(0)});
+  }
+}
+
+void Retrying::Handle(const AttemptEnd& end) {
+  const Leg* leg = m_board->legs.Find(end.id);
+  if (leg == nullptr) return;
+  const LegKind kind = leg->kind;
+  Request* request = internal::RequestOf(m_board, end.id);
+  if (!end.ran) {
+    // The agent holds nothing and has buried the attempt.
+    if (request != nullptr) {
+      request->legs.erase(end.id);
+      // A reservation holds memory but runs nothing until it is started.
+      const bool was_started =
+          kind != LegKind::kDecode || request->phase == RequestPhase::kDecoding;
+      if (was_started) --request->unproved_runs;
+    }
+    const bool releasing = leg->releasing;
+    m_board->legs.Erase(end.id);
+    if (releasing) return;
+  }
+  if (request == nullptr) return;
+  if (end.kind != ErrorKind::kKvGone) request->avoid.insert(end.vm);
+  if (end.retry_after > Duration(0) &&
+      (request->retry_after == Duration(0) ||
+       end.retry_after < request->retry_after)) {
+    request->retry_after = end.retry_after;
+  }
+  internal::Note(m_board, request->asked.id, kPart,
+                 end.vm.Value() + (end.ran ? " failed: " : " refused: ") +
+                     std::string(AnswerFor(end.kind).type));
+  switch (kind) {
+    case LegKind::kDecode:
+      return HandleDecode(request, end);
+    case LegKind::kPrefill:
+      return HandlePrefill(request, end);
+    case LegKind::kCall:
+      return HandleCall(request, end);
+  }
+}
+
+void Retrying::HandleDecode(Request* request, const AttemptEnd& end) {
+  if (end.ran) internal::ReleaseLeg(m_board, end.id);
+  if (request->phase == RequestPhase::kReserving) {
+    // The other agent that was asked may still grant.
+    if (request->legs.empty()) PlaceAgainOrEnd(request, end);
+    return;
+  }
+  const bool was_current =
+      !request->decode.has_value() || request->decode == end.id;
+  if (!was_current) return;
+  request->decode.reset();
+  if (request->prefill.has_value()) {
+    internal::ReleaseLeg(m_board, *request->prefill);
+  }
+  PlaceAgainOrEnd(request, end);
+}
+
+void Retrying::HandlePrefill(Request* request, const AttemptEnd& end) {
+  if (end.ran) internal::ReleaseLeg(m_board, end.id);
+  if (request->phase != RequestPhase::kPrefilling) return;
+  request->prefill.reset();
+  if (!MayRetry(request, end)) {
+    return internal::EndWithError(m_board, request, end.kind, kPart);
+  }
+  m_board->to_prefill.push_back(request->asked.id);
+}
+
+void Retrying::HandleCall(Request* request, const AttemptEnd& end) {
+  if (end.ran) internal::ReleaseLeg(m_board, end.id);
+  const PlainService& service =
+      m_board->configuration->plain_services.at(request->asked.service);
+  const bool repeatable = Configuration::IsRepeatable(
+      service, request->asked.method, request->asked.path);
+  if (end.ran && !repeatable) {
+    return internal::EndWithError(m_board, request, end.kind, kPart,
+                                  "the call may not be repeated");
+  }
+  PlaceAgainOrEnd(request, end);
+}
+
+void Retrying::PlaceAgainOrEnd(Request* request, const AttemptEnd& end) {
+  if (!MayRetry(request, end)) {
+    return internal::EndWithError(m_board, request, end.kind, kPart);
+  }
+  request->phase = RequestPhase::kWaiting;
+  m_board->to_place.push_back(request->asked.id);
+}
+
+bool Retrying::MayRetry(Request* request, const AttemptEnd& end) {
+  if (!AnswerFor(end.kind).retryable) return false;
+  const RoutingPolicy& policy =
+      m_board->configuration->PolicyFor(request->policy);
+  if (request->rounds >= policy.max_attempts) return false;
+  // A refusal has cost no work, so only what ran is paid for.
+  if (!end.ran) return true;
+  if (m_board->retry_budgets[request->policy].Take(m_board->now)) {
+    m_board->metrics.Count("burdockhill_retries_total", {});
+    return true;
+  }
+  internal::Note(m_board, request->asked.id, kPart, "retry budget is spent");
+  return false;
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/streaming.cc
@@ -0,0 +1,100 @@
+#include "burdockhill/src/entry/streaming.h"
+
+#include <utility>
+
+#include "burdockhill/src/entry/request_steps.h"
+
+namespace burdockhill {
+
+namespace {
+
+constexpr char kPart[] = "streaming";
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void Streaming::Step() {
+  for (const RequestId& id : std::exchange(m_board->to_decode, {})) {
+    Request* request = m_board->requests.Find(id);
+    const bool waits = request != nullptr &&
+                       request->phase == RequestPhase::kDecoding &&
+                       request->decode.has_value();
+    if (waits) Start(request);
+  }
+}
+
+void Streaming::Start(Request* request) {
+  const Leg* leg = m_board->legs.Find(*request->decode);
+  request->progress_at = m_board->now;
+  ++request->unproved_runs;
+  StartDecode order;
+  order.attempt = leg->id;
+  order.kv_handle = request->kv_handle;
+  order.kv_source = request->kv_source;
+  order.prompt = request->usage.prompt;
+  order.max_output =
+      request->max_output - Tokens(static_cast<int64_t>(request->delivered));
+  order.first_offset = request->delivered;
+  order.parameters = request->asked.parameters;
+  m_peers->Send(leg->vm, std::move(order));
+  internal::Note(m_board, request->asked.id, kPart,
+                 "decode started at " + leg->vm.Value() + " from token " +
+                     std::to_string(request->delivered));
+}
+
+void Streaming::OnChunk(const VmName& from, const StreamChunk& chunk) {
+  Request* request = internal::RequestOf(m_board, chunk.attempt);
+  if (request == nullptr || request->decode != chunk.attempt ||
+      request->phase != RequestPhase::kDecoding) {
+    return;
+  }
+  request->progress_at = m_board->now;
+  if (chunk.offset != request->delivered) {
+    const bool repeats = chunk.offset + chunk.tokens <= request->delivered &&
+                         chunk.finish_reason.empty();
+    if (!repeats) {
+      m_peers->Send(from, AttachAttempt{chunk.attempt, request->delivered});
+    }
+    return;
+  }
+  RecordTiming(request, chunk);
+  request->delivered += chunk.tokens;
+  request->delivered_text += chunk.text;
+  if (!chunk.text.empty()) m_callers->OnTokens(request->asked.id, chunk.text);
+  if (chunk.finish_reason.empty()) return;
+  request->usage.output = Tokens(static_cast<int64_t>(request->delivered));
+  RequestEnd end;
+  end.finish_reason = chunk.finish_reason;
+  internal::Note(m_board, request->asked.id, kPart,
+                 "finished after " + std::to_string(request->delivered) +
+                     " tokens: " + chunk.finish_reason);
+  internal::End(m_board, request, std::move(end));
+}
+
+void Streaming::OnAnswered(const CallAnswered& answer) {
+  Request* request = internal::RequestOf(m_board, answer.attempt);
+  if (request == nullptr || request->phase != RequestPhase::kCalling) return;
+  internal::Note(m_board, request->asked.id, kPart,
+                 "answered with status " + std::to_string(answer.status));
+  RequestEnd end;
+  end.answer = answer;
+  internal::End(m_board, request, std::move(end));
+}
+
+void Streaming::RecordTiming(Request* request, const StreamChunk& chunk) {
+  if (chunk.tokens == 0) return;
+  const MetricLabels labels = internal::LabelsOf(*request);
+  if (!request->first_token_at.has_value()) {
+    request->first_token_at = m_board->now;
+    m_board->metrics.HistogramFor("burdockhill_first_token_seconds", labels)
+        ->Add(Seconds(m_board->now - request->arrived));
+    internal::Note(m_board, request->asked.id, kPart,
+                   "first token after " +
+                       internal::Milliseconds(m_board->now - request->arrived));
+  }
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/entry/streaming.h
@@ -0,0 +1,33 @@
+#ifndef BURDOCKHILL_SRC_ENTRY_STREAMING_H_
+#define BURDOCKHILL_SRC_ENTRY_STREAMING_H_
+
+#include "burdockhill/src/entry/entry_blackboard.h"
+#include "burdockhill/src/peer/peer_link.h"
+
+namespace burdockhill {
+
+// Starts the decode of each request whose prompt is computed, and passes its
+// tokens on in order. Only the next offset of the current attempt reaches the
+// caller: late, crossed and repeated chunks drop out, and a gap is asked for
+// again.
+class Streaming {
+ public:
+  Streaming(EntryBlackboard* board, PeerLink* peers, CallerPort* callers)
+      : m_board(board), m_peers(peers), m_callers(callers) {}
+
+  void OnChunk(const VmName& from, const StreamChunk& chunk);
+  void OnAnswered(const CallAnswered& answer);
+  void Step();
+
+ private:
+  void Start(Request* request);
+  void RecordTiming(Request* request, const StreamChunk& chunk);
+
+  EntryBlackboard* m_board;
+  PeerLink* m_peers;
+  CallerPort* m_callers;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_ENTRY_STREAMING_H_
--- /dev/null
+++ b/burdockhill/src/metrics/metrics_registry.h
@@ -0,0 +1,45 @@
+#ifndef BURDOCKHILL_SRC_METRICS_METRICS_REGISTRY_H_
+#define BURDOCKHILL_SRC_METRICS_METRICS_REGISTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "burdockhill/src/metrics/histogram.h"
+
+namespace burdockhill {
+
+// What a series is about. Empty parts are left out of the text.
+struct MetricLabels {
+  std::string tenant;
+  std::string request_class;
+  std::string service;
+  std::string kind;
+  auto operator<=>(const MetricLabels&) const = default;
+};
+
+// Counters and histograms of one process.
+class MetricsRegistry {
+ public:
+  void Count(const std::string& name, const MetricLabels& labels,
+             uint64_t increment = 1);
+  void Set(const std::string& name, const MetricLabels& labels, int64_t value);
+  Histogram* HistogramFor(const std::string& name, const MetricLabels& labels);
+
+  uint64_t CounterValue(const std::string& name,
+                        const MetricLabels& labels) const;
+
+  // The Prometheus text format, version 0.0.4.
+  std::string PrometheusText() const;
+
+ private:
+  using SeriesKey = std::pair<std::string, MetricLabels>;
+  std::map<SeriesKey, uint64_t> m_counters;
+  std::map<SeriesKey, int64_t> m_gauges;
+  std::map<SeriesKey, Histogram> m_histograms;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_METRICS_METRICS_REGISTRY_H_
--- /dev/null
+++ b/burdockhill/src/resources/configuration.cc
@@ -0,0 +1,336 @@
+#include "burdockhill/src/resources/configuration.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "burdockhill/src/resources/field_reader.h"
+
+namespace burdockhill {
+
+namespace {
+
+using internal::FieldReader;
+using internal::Need;
+using nlohmann::json;
+
+const std::vector<std::string> kClassNames = {"interactive", "standard",
+                                              "batch"};
+const std::vector<std::string> kRegionRules = {"local_only", "prefer_local"};
+constexpr int64_t kMaxTokens = 10'000'000;
+constexpr int64_t kMaxRate = 1'000'000;
+constexpr size_t kSha256HexDigits = 64;
+
+void ReadTokens(FieldReader* reader, const char* name, Tokens* target) {
+  int64_t value = target->Value();
+  reader->Read(name, Need::kOptional, 1, kMaxTokens, &value);
+  *target = Tokens(value);
+}
+
+ModelService ReadModelService(FieldReader* reader) {
+  ModelService out;
+  reader->Read("policy", Need::kOptional, &out.policy);
+  ReadTokens(reader, "max_prompt_tokens", &out.max_prompt);
+  ReadTokens(reader, "max_output_tokens", &out.max_output);
+  ReadTokens(reader, "default_output_tokens", &out.default_output);
+  if (out.default_output > out.max_output) {
+    reader->Fail("default_output_tokens", "must not exceed max_output_tokens");
+  }
+  return out;
+}
+
+PlainRoute ReadRoute(FieldReader* reader) {
+  PlainRoute out;
+  reader->Read("path_prefix", Need::kRequired, &out.path_prefix);
+  reader->Read("methods", Need::kOptional, &out.methods);
+  reader->Read("repeatable", Need::kRequired, &out.repeatable);
+  if (!out.path_prefix.starts_with('/')) {
+    reader->Fail("path_prefix", "must start with '/'");
+  }
+  return out;
+}
+
+PlainService ReadPlainService(FieldReader* reader) {
+  PlainService out;
+  reader->Read("policy", Need::kOptional, &out.policy);
+  reader->ReadObjects("routes", Need::kOptional, [&](FieldReader* route) {
+    out.routes.push_back(ReadRoute(route));
+  });
+  reader->ReadObject("duplicate_key", Need::kOptional, [&](FieldReader* key) {
+    key->Read("header", Need::kOptional, &out.key_header);
+    key->Read("body_field", Need::kOptional, &out.key_body_field);
+    if (out.key_header.empty() == out.key_body_field.empty()) {
+      key->Fail("header", "name either a header or a body_field");
+    }
+    if (!out.key_header.empty() && out.key_header != "Idempotency-Key") {
+      key->Fail("header", "must be \"Idempotency-Key\"");
+    }
+  });
+  reader->ReadMilliseconds("timeout_ms", Need::kOptional, &out.timeout);
+  return out;
+}
+
+Upstream ReadUpstream(FieldReader* reader) {
+  Upstream out;
+  reader->Read("service", Need::kRequired, &out.service);
+  reader->Read("vm", Need::kRequired, &out.vm);
+  reader->Read("drain", Need::kOptional, &out.drain);
+  return out;
+}
+
+Tenant ReadTenant(FieldReader* reader) {
+  Tenant out;
+  out.services = {"*"};
+  auto request_class = static_cast<size_t>(out.request_class);
+  reader->Read("key_sha256", Need::kRequired, &out.key_sha256);
+  reader->Read("services", Need::kOptional, &out.services);
+  reader->ReadChoice("class", Need::kOptional, kClassNames, &request_class);
+  reader->Read("weight", Need::kOptional, 1, 1000, &out.weight);
+  reader->Read("requests_per_second", Need::kOptional, 1, kMaxRate,
+               &out.requests_per_second);
+  reader->Read("burst", Need::kOptional, 1, kMaxRate, &out.burst);
+  reader->Read("max_concurrent", Need::kOptional, 1, kMaxRate,
+               &out.max_concurrent);
+  out.request_class = static_cast<RequestClass>(request_class);
+  const bool is_hex = std::all_of(
+      out.key_sha256.begin(), out.key_sha256.end(),
+      [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+  if (!is_hex || out.key_sha256.size() != kSha256HexDigits) {
+    reader->Fail("key_sha256", "must be 64 lower-case hex digits");
+  }
+  return out;
+}
+
+RoutingPolicy ReadRoutingPolicy(FieldReader* reader) {
+  RoutingPolicy out;
+  auto region_rule = static_cast<size_t>(out.region_rule);
+  reader->ReadMilliseconds("first_token_target_ms", Need::kOptional,
+                           &out.first_token_target);
+  reader->ReadMilliseconds("per_token_target_ms", Need::kOptional,
+                           &out.per_token_target);
+  reader->ReadMilliseconds("first_token_limit_ms", Need::kOptional,
+                           &out.first_token_limit);
+  reader->Read("retry_budget_percent", Need::kOptional, 0, 100,
+               &out.retry_budget_percent);
+  reader->Read("max_attempts", Need::kOptional, 1, 10, &out.max_attempts);
+  reader->ReadChoice("region_rule", Need::kOptional, kRegionRules,
+                     &region_rule);
+  out.region_rule = static_cast<RegionRule>(region_rule);
+  return out;
+}
+
+template <typename Key, typename Value>
+void Add(std::map<Key, Value>* map, const std::string& name, Value value,
+         const std::string& path, FieldErrors* errors) {
+  value.name = Key(name);
+  if (!map->emplace(Key(name), std::move(value)).second) {
+    errors->push_back({path + "/name", "stands twice"});
+  }
+}
+
+// Reads one spec into `out`; every kind has one branch.
+void ReadSpec(const ResourceKey& key, const json& spec, const std::string& path,
+              Configuration* out, FieldErrors* errors) {
+  FieldReader reader(spec, path + "/spec", errors);
+  if (key.kind == "ModelService") {
+    Add(&out->models, key.name, ReadModelService(&reader), path, errors);
+  } else if (key.kind == "PlainService") {
+    Add(&out->plain_services, key.name, ReadPlainService(&reader), path,
+        errors);
+  } else if (key.kind == "Upstream") {
+    Add(&out->upstreams, key.name, ReadUpstream(&reader), path, errors);
+  } else if (key.kind == "Tenant") {
+    Add(&out->tenants, key.name, ReadTenant(&reader), path, errors);
+  } else if (key.kind == "RoutingPolicy") {
+    Add(&out->policies, key.name, ReadRoutingPolicy(&reader), path, errors);
+  } else {
+    errors->push_back({path + "/kind", "is not a known kind"});
+    return;
+  }
+  reader.RefuseUnknown();
+}
+
+ResourceKey ReadKey(FieldReader* reader) {
+  NameId<struct ResourceNameTag> name;
+  ResourceKey key;
+  reader->Read("kind", Need::kRequired, &key.kind);
+  reader->Read("name", Need::kRequired, &name);
+  key.name = name.Value();
+  return key;
+}
+
+// Checks what one resource says of another.
+void CheckReferences(const Configuration& c, FieldErrors* errors) {
+  const auto fail = [&](const std::string& kind, const std::string& name,
+                        const std::string& message) {
+    errors->push_back({kind + "/" + name, message});
+  };
+  const auto has_policy = [&](const PolicyName& policy) {
+    return policy.Value() == "default" || c.policies.contains(policy);
+  };
+  for (const auto& [name, model] : c.models) {
+    if (!has_policy(model.policy)) {
+      fail("ModelService", name.Value(), "names an unknown policy");
+    }
+    if (c.plain_services.contains(name)) {
+      fail("ModelService", name.Value(), "has the name of a PlainService");
+    }
+  }
+  for (const auto& [name, plain] : c.plain_services) {
+    if (!has_policy(plain.policy)) {
+      fail("PlainService", name.Value(), "names an unknown policy");
+    }
+  }
+  std::map<VmName, UpstreamName> vms;
+  for (const auto& [name, upstream] : c.upstreams) {
+    if (!c.models.contains(upstream.service) &&
+        !c.plain_services.contains(upstream.service)) {
+      fail("Upstream", name.Value(), "names an unknown service");
+    }
+    if (!vms.emplace(upstream.vm, name).second) {
+      fail("Upstream", name.Value(), "names a VM of another Upstream");
+    }
+  }
+  for (const auto& [name, tenant] : c.tenants) {
+    for (const std::string& service : tenant.services) {
+      const ServiceName wanted(service);
+      if (service != "*" && !c.models.contains(wanted) &&
+          !c.plain_services.contains(wanted)) {
+        fail("Tenant", name.Value(), "names an unknown service " + service);
+      }
+    }
+  }
+}
+
+void IndexTenants(Configuration* c, FieldErrors* errors) {
+  for (const auto& [name, tenant] : c->tenants) {
+    if (!c->tenants_by_key.emplace(tenant.key_sha256, name).second) {
+      errors->push_back(
+          {"Tenant/" + name.Value(), "has the key of another tenant"});
+    }
+  }
+}
+
+}  // namespace
+
+const RoutingPolicy& Configuration::PolicyFor(const PolicyName& name) const {
+  static const RoutingPolicy kDefaults{PolicyName("default")};
+  const auto found = policies.find(name);
+  return found == policies.end() ? kDefaults : found->second;
+}
+
+bool Configuration::IsRepeatable(const PlainService& service,
+                                 const std::string& method,
+                                 const std::string& path) {
+  const PlainRoute* best = nullptr;
+  for (const PlainRoute& route : service.routes) {
+    const bool method_matches =
+        route.methods.empty() ||
+        std::find(route.methods.begin(), route.methods.end(), method) !=
+            route.methods.end();
+    if (!method_matches || !path.starts_with(route.path_prefix)) continue;
+    if (best == nullptr ||
+        route.path_prefix.size() > best->path_prefix.size()) {
+      best = &route;
+    }
+  }
+  return best != nullptr && best->repeatable;
+}
+
+const Upstream* Configuration::UpstreamOnVm(const VmName& vm) const {
+  for (const auto& [name, upstream] : upstreams) {
+    if (upstream.vm == vm) return &upstream;
+  }
+  return nullptr;
+}
+
+std::optional<Configuration> ParseConfiguration(const std::string& text,
+                                                FieldErrors* errors) {
+  json document;
+  if (!internal::ParseJson(text, &document, errors)) return std::nullopt;
+  const size_t errors_before = errors->size();
+  Configuration out;
+  FieldReader reader(document, "", errors);
+  const json* resources = reader.Raw("resources", Need::kRequired);
+  if (resources == nullptr || !resources->is_array()) {
+    errors->push_back({"/resources", "must be an array of objects"});
+    return std::nullopt;
+  }
+  size_t index = 0;
+  for (const json& resource : *resources) {
+    const std::string path = "/resources/" + std::to_string(index++);
+    FieldReader fields(resource, path, errors);
+    const ResourceKey key = ReadKey(&fields);
+    const json* spec = fields.Raw("spec", Need::kRequired);
+    fields.RefuseUnknown();
+    if (spec != nullptr) ReadSpec(key, *spec, path, &out, errors);
+  }
+  reader.RefuseUnknown();
+  CheckReferences(out, errors);
+  IndexTenants(&out, errors);
+  if (errors->size() > errors_before) return std::nullopt;
+  return out;
+}
+
+std::vector<ResourceText> ParseResourceFile(const std::string& text,
+                                            FieldErrors* errors) {
+  std::vector<ResourceText> out;
+  json document;
+  if (!internal::ParseJson(text, &document, errors)) return out;
+  const bool is_list = document.is_object() && document.contains("resources");
+  json list = json::array({document});
+  if (is_list) list = document["resources"];
+  if (!list.is_array()) {
+    errors->push_back({"/resources", "must be an array of objects"});
+    return out;
+  }
+  size_t index = 0;
+  for (const json& resource : list) {
+    const std::string path =
+        is_list ? "/resources/" + std::to_string(index) : "";
+    ++index;
+    FieldReader fields(resource, path, errors);
+    ResourceText item;
+    item.key = ReadKey(&fields);
+    const json* spec = fields.Raw("spec", Need::kRequired);
+    fields.RefuseUnknown();
+    if (spec == nullptr) continue;
+    Configuration scratch;
+    ReadSpec(item.key, *spec, path, &scratch, errors);
+    item.spec = spec->dump();
+    out.push_back(std::move(item));
+  }
+  internal::AddLines(text, errors);
+  return out;
+}
+
+void CheckResource(const ResourceText& resource, FieldErrors* errors) {
+  json spec;
+  if (!internal::ParseJson(resource.spec, &spec, errors)) return;
+  Configuration scratch;
+  ReadSpec(resource.key, spec, "", &scratch, errors);
+}
+
+std::string ComposeConfiguration(const std::vector<ResourceText>& resources) {
+  std::string text = "{\"resources\":[";
+  bool first = true;
+  for (const ResourceText& resource : resources) {
+    if (!first) text += ",\n";
+    first = false;
+    text += "{\"kind\":" + json(resource.key.kind).dump() +
+            ",\"name\":" + json(resource.key.name).dump() +
+            ",\"spec\":" + resource.spec + "}";
+  }
+  return text + "]}";
+}
+
+bool IsResourceKind(const std::string& kind) {
+  return std::find(std::begin(kResourceKinds), std::end(kResourceKinds),
+                   kind) != std::end(kResourceKinds);
+}
+
+std::string_view RequestClassName(RequestClass request_class) {
+  return kClassNames[static_cast<size_t>(request_class)];
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/resources/field_reader.cc
@@ -0,0 +1,283 @@
+#include "burdockhill/src/resources/field_reader.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+
+namespace burdockhill {
+
+std::string FormatErrors(const FieldErrors& errors) {
+  std::string text;
+  for (const FieldError& error : errors) {
+    if (error.line > 0) text += "line " + std::to_string(error.line) + ": ";
+    if (!error.path.empty()) text += error.path + ": ";
+    text += error.message + "\n";
+  }
+  return text;
+}
+
+namespace internal {
+
+namespace {
+
+using nlohmann::json;
+
+// Counts the line breaks that a parser has read so far.
+class LineCountingIterator {
+ public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char*;
+  using reference = const char&;
+
+  LineCountingIterator(const char* at, int* line) : m_at(at), m_line(line) {}
+  reference operator*() const { return *m_at; }
+  LineCountingIterator& operator++() {
+    if (*m_at == '\n') ++*m_line;
+    ++m_at;
+    return *this;
+  }
+  bool operator==(const LineCountingIterator& other) const {
+    return m_at == other.m_at;
+  }
+  bool operator!=(const LineCountingIterator& other) const {
+    return m_at != other.m_at;
+  }
+
+ private:
+  const char* m_at;
+  int* m_line;
+};
+
+// Notes the line of every field while the text is parsed.
+class LineRecorder : public nlohmann::json_sax<json> {
+ public:
+  explicit LineRecorder(const int* line) : m_line(line) {}
+  const std::map<std::string, int>& Lines() const { return m_lines; }
+
+  bool null() override { return Value(); }
+  bool boolean(bool /*value*/) override { return Value(); }
+  bool number_integer(number_integer_t /*value*/) override { return Value(); }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return Value(); }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return Value();
+  }
+  bool string(string_t& /*value*/) override { return Value(); }
+  bool binary(binary_t& /*value*/) override { return Value(); }
+  bool start_object(std::size_t /*count*/) override { return Begin(false); }
+  bool start_array(std::size_t /*count*/) override { return Begin(true); }
+  bool end_object() override { return End(); }
+  bool end_array() override { return End(); }
+  bool key(string_t& name) override {
+    m_levels.back().name = name;
+    m_lines.emplace(Path(), *m_line);
+    return true;
+  }
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+ private:
+  struct Level {
+    bool is_array = false;
+    size_t index = 0;
+    std::string name;
+  };
+
+  bool Value() {
+    if (m_levels.empty() || !m_levels.back().is_array) return true;
+    m_lines.emplace(Path(), *m_line);
+    ++m_levels.back().index;
+    return true;
+  }
+  bool Begin(bool is_array) {
+    if (!m_levels.empty() && m_levels.back().is_array) {
+      m_lines.emplace(Path(), *m_line);
+    }
+    m_levels.push_back({is_array, 0, {}});
+    return true;
+  }
+  bool End() {
+    m_levels.pop_back();
+    if (!m_levels.empty() && m_levels.back().is_array) ++m_levels.back().index;
+    return true;
+  }
+  std::string Path() const {
+    std::string path;
+    for (const Level& level : m_levels) {
+      path += '/';
+      path += level.is_array ? std::to_string(level.index) : level.name;
+    }
+    return path;
+  }
+
+  const int* m_line;
+  std::vector<Level> m_levels;
+  std::map<std::string, int> m_lines;
+};
+
+}  // namespace
+
+FieldReader::FieldReader(const json& object, std::string path,
+                         FieldErrors* errors)
+    : m_object(object), m_path(std::move(path)), m_errors(errors) {
+  if (!object.is_object()) {
+    m_errors->push_back({m_path, "must be an object"});
+  }
+}
+
+const json* FieldReader::Raw(const char* name, Need need) {
+  m_read.insert(name);
+  if (!m_object.is_object()) return nullptr;
+  const auto found = m_object.find(name);
+  if (found != m_object.end()) return &*found;
+  if (need == Need::kRequired) Fail(name, "is required");
+  return nullptr;
+}
+
+void FieldReader::Read(const char* name, Need need, std::string* target) {
+  const json* value = Raw(name, need);
+  if (value == nullptr) return;
+  if (!value->is_string()) return Fail(name, "must be a string");
+  *target = value->get<std::string>();
+  if (need == Need::kRequired && target->empty()) {
+    Fail(name, "must not be empty");
+  }
+}
+
+void FieldReader::Read(const char* name, Need need, bool* target) {
+  const json* value = Raw(name, need);
+  if (value == nullptr) return;
+  if (!value->is_boolean()) return Fail(name, "must be true or false");
+  *target = value->get<bool>();
+}
+
+void FieldReader::Read(const char* name, Need need, int64_t low, int64_t high,
+                       int64_t* target) {
+  const json* value = Raw(name, need);
+  if (value == nullptr) return;
+  const std::string range = "must be a whole number from " +
+                            std::to_string(low) + " to " + std::to_string(high);
+  if (!value->is_number_integer()) return Fail(name, range);
+  const auto number = value->get<int64_t>();
+  if (number < low || number > high) return Fail(name, range);
+  *target = number;
+}
+
+void FieldReader::ReadMilliseconds(const char* name, Need need,
+                                   Duration* target) {
+  constexpr int64_t kLongest = 24 * 3600 * 1000;
+  int64_t value =
+      std::chrono::duration_cast<std::chrono::milliseconds>(*target).count();
+  Read(name, need, 1, kLongest, &value);
+  *target = std::chrono::milliseconds(value);
+}
+
+void FieldReader::ReadChoice(const char* name, Need need,
+                             const std::vector<std::string>& values,
+                             size_t* target) {
+  std::string text = values[*target];
+  Read(name, need, &text);
+  const auto found = std::find(values.begin(), values.end(), text);
+  if (found != values.end()) {
+    *target = static_cast<size_t>(found - values.begin());
+    return;
+  }
+  std::string message = "must be one of";
+  for (const std::string& value : values) message += " \"" + value + "\"";
+  Fail(name, message);
+}
+
+void FieldReader::Read(const char* name, Need need,
+                       std::vector<std::string>* target) {
+  const json* value = Raw(name, need);
+  if (value == nullptr) return;
+  if (!value->is_array()) return Fail(name, "must be an array of strings");
+  target->clear();
+  for (const json& element : *value) {
+    if (!element.is_string()) return Fail(name, "must be an array of strings");
+    target->push_back(element.get<std::string>());
+  }
+}
+
+void FieldReader::ReadObjects(const char* name, Need need,
+                              const std::function<void(FieldReader*)>& read) {
+  const json* value = Raw(name, need);
+  if (value == nullptr) return;
+  if (!value->is_array()) return Fail(name, "must be an array of objects");
+  size_t index = 0;
+  for (const json& element : *value) {
+    FieldReader reader(
+        element, m_path + "/" + name + "/" + std::to_string(index), m_errors);
+    read(&reader);
+    reader.RefuseUnknown();
+    ++index;
+  }
+}
+
+void FieldReader::ReadObject(const char* name, Need need,
+                             const std::function<void(FieldReader*)>& read) {
+  const json* value = Raw(name, need);
+  if (value == nullptr) return;
+  FieldReader reader(*value, m_path + "/" + name, m_errors);
+  read(&reader);
+  reader.RefuseUnknown();
+}
+
+void FieldReader::Fail(const std::string& name, const std::string& message) {
+  m_errors->push_back({m_path + "/" + name, message});
+}
+
+void FieldReader::RefuseUnknown() {
+  if (!m_object.is_object()) return;
+  for (const auto& [name, value] : m_object.items()) {
+    if (!m_read.contains(name)) Fail(name, "is not a known field");
+  }
+}
+
+bool FieldReader::IsName(const std::string& text) {
+  constexpr size_t kLongestName = 63;
+  if (text.empty() || text.size() > kLongestName) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '.';
+  });
+}
+
+bool ParseJson(const std::string& text, json* value, FieldErrors* errors) {
+  try {
+    *value = json::parse(text, nullptr, /*allow_exceptions=*/true,
+                         /*ignore_comments=*/true);
+    return true;
+  } catch (const json::parse_error& error) {
+    const size_t end = std::min(error.byte, text.size());
+    const auto line =
+        1 + std::count(text.begin(),
+                       text.begin() + static_cast<std::ptrdiff_t>(end), '\n');
+    errors->push_back({"", "is not valid JSON", static_cast<int>(line)});
+    return false;
+  }
+}
+
+void AddLines(const std::string& text, FieldErrors* errors) {
+  if (errors->empty()) return;
+  int line = 1;
+  LineRecorder recorder(&line);
+  const char* end = text.data() + text.size();
+  json::sax_parse(LineCountingIterator(text.data(), &line),
+                  LineCountingIterator(end, &line), &recorder,
+                  json::input_format_t::json, /*strict=*/true,
+                  /*ignore_comments=*/true);
+  for (FieldError& error : *errors) {
+    if (error.line > 0) continue;
+    const auto found = recorder.Lines().find(error.path);
+    if (found != recorder.Lines().end()) error.line = found->second;
+  }
+}
+
+}  // namespace internal
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/store/object_store.h
@@ -0,0 +1,74 @@
+#ifndef BURDOCKHILL_SRC_STORE_OBJECT_STORE_H_
+#define BURDOCKHILL_SRC_STORE_OBJECT_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "burdockhill/src/base/id.h"
+#include "burdockhill/src/peer/message.h"
+#include "burdockhill/src/resources/resource.h"
+
+namespace burdockhill {
+
+// Largest value that the platform's store takes.
+inline constexpr size_t kMaxObjectBytes = size_t{1} << 20;
+
+// An object as the store holds it. Versions of all objects come from one
+// rising sequence, the store's revision.
+struct StoredObject {
+  ResourceKey key;
+  uint64_t version = 0;
+  std::string value;
+  bool deleted = false;
+};
+
+enum class StoreStatus {
+  kOk,
+  kConflict,  // The object does not have the expected version.
+  kNotFound,
+  kUnavailable,  // No answer. A write may have taken effect all the same.
+};
+
+// A VM on the platform's list, which lags.
+struct ListedVm {
+  VmName name;
+  Role role = Role::kEntry;
+  std::string peer_address;
+  std::string operators_address;
+  ZoneName zone;
+  RegionName region;
+  bool leaving = false;
+};
+
+// Asynchronous access to the platform. Every callback is called exactly once,
+// never before the call that takes it has returned.
+class ObjectStore {
+ public:
+  using GetDone = std::function<void(StoreStatus, const StoredObject&)>;
+  using PutDone = std::function<void(StoreStatus, uint64_t version)>;
+  using WatchDone =
+      std::function<void(StoreStatus, const std::vector<StoredObject>& changes,
+                         uint64_t revision)>;
+  using ListDone =
+      std::function<void(StoreStatus, const std::vector<ListedVm>&)>;
+
+  virtual ~ObjectStore() = default;
+  virtual void Get(const ResourceKey& key, GetDone done) = 0;
+  // Writes if the object has `expected_version`; 0 means it must not exist.
+  virtual void Put(const ResourceKey& key, const std::string& value,
+                   uint64_t expected_version, PutDone done) = 0;
+  // Deletes if the object has `expected_version`; 0 deletes any version.
+  virtual void Delete(const ResourceKey& key, uint64_t expected_version,
+                      PutDone done) = 0;
+  // Waits for changes of `kinds` after revision `since`, half a minute at the
+  // longest; `since` 0 returns all objects at once.
+  virtual void Watch(const std::vector<std::string>& kinds, uint64_t since,
+                     WatchDone done) = 0;
+  virtual void ListVms(ListDone done) = 0;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_SRC_STORE_OBJECT_STORE_H_
--- /dev/null
+++ b/burdockhill/src/transport/event_loop.cc
@@ -0,0 +1,42 @@
+#include "burdockhill/src/transport/event_loop.h"
+
+#include <libwebsockets.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace burdockhill {
+
+struct EventLoop::Timer {
+  lws_sorted_usec_list_t entry{};
+};
+
+namespace {
+void OnTimer(lws_sorted_usec_list_t* /*entry*/) {}
+}  // namespace
+
+EventLoop::EventLoop() : m_timer(std::make_unique<Timer>()) {
+  lws_set_log_level(LLL_ERR, nullptr);
+  lws_context_creation_info info = {};
+  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.gid = -1;
+  info.uid = -1;
+  m_context = lws_create_context(&info);
+  if (m_context == nullptr) {
+    throw std::runtime_error("cannot create the event loop");
+  }
+}
+
+EventLoop::~EventLoop() { lws_context_destroy(m_context); }
+
+void EventLoop::RunOnce() { lws_service(m_context, 0); }
+
+void EventLoop::WakeAfter(Duration delay) {
+  const int64_t microseconds = std::max<int64_t>(delay.count(), 1);
+  lws_sul_schedule(m_context, 0, &m_timer->entry, OnTimer, microseconds);
+}
+
+void EventLoop::Interrupt() { lws_cancel_service(m_context); }
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/transport/http_server.cc
@@ -0,0 +1,369 @@
+#include "burdockhill/src/transport/http_server.h"
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <chrono>
+#include <cstring>
+#include <stdexcept>
+
+#include "burdockhill/src/base/table.h"
+#include "burdockhill/src/transport/event_loop.h"
+
+namespace burdockhill {
+
+namespace {
+
+constexpr char kProtocolName[] = "http";
+constexpr size_t kMaxHeaderBytes = 8192;
+constexpr size_t kMaxResponseHeaderBytes = 4096;
+// Largest part of a body that is handed to the socket at once.
+constexpr size_t kWriteBytes = 64 * 1024;
+
+// State of one exchange between request and end of response.
+struct Exchange {
+  lws* wsi = nullptr;
+  HttpRequest request;
+  bool too_large = false;
+  bool responding = false;
+  bool headers_sent = false;
+  bool ended = false;
+  bool has_length = false;
+  int status = 0;
+  std::string content_type;
+  HttpHeaders headers;
+  std::string out;
+  size_t out_start = 0;
+
+  size_t Pending() const { return out.size() - out_start; }
+};
+
+// Kept by libwebsockets for every connection.
+struct Connection {
+  uint64_t exchange;
+};
+
+std::string Token(lws* wsi, lws_token_indexes token) {
+  const int length = lws_hdr_total_length(wsi, token);
+  if (length <= 0) return {};
+  std::string value(static_cast<size_t>(length) + 1, '\0');
+  const int copied =
+      lws_hdr_copy(wsi, value.data(), static_cast<int>(value.size()), token);
+  value.resize(copied > 0 ? static_cast<size_t>(copied) : 0);
+  return value;
+}
+
+std::string CustomHeader(lws* wsi, std::string_view name_with_colon) {
+  const int name_length = static_cast<int>(name_with_colon.size());
+  const int length =
+      lws_hdr_custom_length(wsi, name_with_colon.data(), name_length);
+  if (length <= 0) return {};
+  std::string value(static_cast<size_t>(length) + 1, '\0');
+  const int copied =
+      lws_hdr_custom_copy(wsi, value.data(), static_cast<int>(value.size()),
+                          name_with_colon.data(), name_length);
+  value.resize(copied > 0 ? static_cast<size_t>(copied) : 0);
+  return value;
+}
+
+std::string Query(lws* wsi) {
+  std::string query;
+  std::array<char, 1024> fragment;
+  int index = 0;
+  while (lws_hdr_copy_fragment(wsi, fragment.data(), fragment.size(),
+                               WSI_TOKEN_HTTP_URI_ARGS, index) > 0) {
+    if (index > 0) query += '&';
+    query += fragment.data();
+    ++index;
+  }
+  return query;
+}
+
+std::string Method(lws* wsi) {
+  struct Row {
+    lws_token_indexes token;
+    const char* name;
+  };
+  static constexpr Row kRows[] = {
+      {WSI_TOKEN_GET_URI, "GET"},         {WSI_TOKEN_POST_URI, "POST"},
+      {WSI_TOKEN_PUT_URI, "PUT"},         {WSI_TOKEN_DELETE_URI, "DELETE"},
+      {WSI_TOKEN_PATCH_URI, "PATCH"},     {WSI_TOKEN_HEAD_URI, "HEAD"},
+      {WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
+  };
+  for (const Row& row : kRows) {
+    if (lws_hdr_total_length(wsi, row.token) > 0) return row.name;
+  }
+  return {};
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(EventLoop* loop, const Options& options, HttpHandler* handler)
+      : m_options(options), m_handler(handler) {
+    m_protocols[0] = {
+        kProtocolName, &Impl::Callback, sizeof(Connection), 0, 0, nullptr, 0};
+    m_protocols[1] = {};
+    lws_context_creation_info info = {};
+    info.port = m_options.address.port;
+    info.iface = m_options.address.host.c_str();
+    info.protocols = m_protocols.data();
+    info.vhost_name = "http-server";
+    info.user = this;
+    info.max_http_header_data = kMaxHeaderBytes;
+    info.timeout_secs =
+        static_cast<unsigned int>(m_options.stall_timeout.count());
+    info.keepalive_timeout = 60;
+    m_vhost = lws_create_vhost(loop->Context(), &info);
+    if (m_vhost == nullptr) {
+      throw std::runtime_error("cannot listen on " + m_options.address.host +
+                               ":" + std::to_string(m_options.address.port));
+    }
+  }
+
+  ~Impl() {
+    m_handler = nullptr;
+    lws_vhost_destroy(m_vhost);
+  }
+
+  void Respond(ExchangeId id, int status, std::string_view content_type,
+               std::string body, const HttpHeaders& headers) {
+    Exchange* exchange = Start(id, status, content_type, headers);
+    if (exchange == nullptr) return;
+    exchange->has_length = true;
+    exchange->out = std::move(body);
+    exchange->ended = true;
+    lws_callback_on_writable(exchange->wsi);
+  }
+
+  void StartStream(ExchangeId id, int status, std::string_view content_type,
+                   const HttpHeaders& headers) {
+    Exchange* exchange = Start(id, status, content_type, headers);
+    if (exchange != nullptr) lws_callback_on_writable(exchange->wsi);
+  }
+
+  void StreamData(ExchangeId id, std::string_view data) {
+    Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr || exchange->ended) return;
+    if (exchange->out.empty()) lws_callback_on_writable(exchange->wsi);
+    exchange->out.append(data);
+  }
+
+  void EndStream(ExchangeId id) {
+    Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr || exchange->ended) return;
+    exchange->ended = true;
+    lws_callback_on_writable(exchange->wsi);
+  }
+
+  void Abort(ExchangeId id) {
+    const Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr) return;
+    lws_set_timeout(exchange->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  }
+
+  size_t Backlog(ExchangeId id) const {
+    const Exchange* exchange = m_exchanges.Find(id);
+    return exchange == nullptr ? 0 : exchange->Pending();
+  }
+
+  size_t OpenExchanges() const { return m_exchanges.Size(); }
+
+ private:
+  static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
+                      void* in, size_t length) {
+    lws_vhost* vhost = lws_get_vhost(wsi);
+    if (vhost == nullptr) return 0;
+    auto* impl = static_cast<Impl*>(lws_vhost_user(vhost));
+    auto* connection = static_cast<Connection*>(user);
+    if (impl == nullptr) return 0;
+    switch (reason) {
+      case LWS_CALLBACK_HTTP:
+        return impl->OnHeaders(wsi, connection,
+                               {static_cast<char*>(in), length});
+      case LWS_CALLBACK_HTTP_BODY:
+        impl->OnBody(connection, {static_cast<char*>(in), length});
+        return 0;
+      case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        impl->OnWholeRequest(connection);
+        return 0;
+      case LWS_CALLBACK_HTTP_WRITEABLE:
+        return impl->OnWriteable(wsi, connection);
+      case LWS_CALLBACK_CLOSED_HTTP:
+        if (connection != nullptr) impl->OnConnectionClosed(connection);
+        return 0;
+      default:
+        return lws_callback_http_dummy(wsi, reason, user, in, length);
+    }
+  }
+
+  int OnHeaders(lws* wsi, Connection* connection, std::string_view path) {
+    const ExchangeId id(++m_last_id);
+    connection->exchange = id.Value();
+    Exchange& exchange = m_exchanges.FindOrInsert(id);
+    exchange.wsi = wsi;
+    HttpRequest& request = exchange.request;
+    request.method = Method(wsi);
+    request.path = path;
+    request.query = Query(wsi);
+    request.authorization = Token(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
+    request.content_type = Token(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE);
+    request.if_match = Token(wsi, WSI_TOKEN_HTTP_IF_MATCH);
+    request.idempotency_key = CustomHeader(wsi, "idempotency-key:");
+    const std::string length = Token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+    const uint64_t body_bytes =
+        length.empty() ? 0 : std::strtoull(length.c_str(), nullptr, 10);
+    if (body_bytes > m_options.max_body) {
+      exchange.too_large = true;
+      OnWholeRequest(connection);
+      return 0;
+    }
+    if (body_bytes == 0) OnWholeRequest(connection);
+    return 0;
+  }
+
+  void OnBody(Connection* connection, std::string_view data) {
+    Exchange* exchange = m_exchanges.Find(ExchangeId(connection->exchange));
+    if (exchange == nullptr || exchange->too_large) return;
+    exchange->request.body.append(data);
+  }
+
+  void OnWholeRequest(Connection* connection) {
+    const ExchangeId id(connection->exchange);
+    Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr || exchange->responding) return;
+    lws_set_timeout(exchange->wsi, NO_PENDING_TIMEOUT, 0);
+    if (exchange->too_large) {
+      Respond(
+          id, HTTP_STATUS_REQ_ENTITY_TOO_LARGE, "application/json",
+          R"({"error":{"type":"too_large","message":"The body is too large.","outcome":"not_run"}})",
+          {});
+      return;
+    }
+    m_handler->OnRequest(id, std::move(exchange->request));
+  }
+
+  void OnConnectionClosed(Connection* connection) {
+    const ExchangeId id(connection->exchange);
+    connection->exchange = 0;
+    Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr) return;
+    const bool handled = !exchange->too_large;
+    m_exchanges.Erase(id);
+    if (handled && m_handler != nullptr) m_handler->OnClosed(id);
+  }
+
+  Exchange* Start(ExchangeId id, int status, std::string_view content_type,
+                  const HttpHeaders& headers) {
+    Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr || exchange->responding) return nullptr;
+    exchange->responding = true;
+    exchange->status = status;
+    exchange->content_type = content_type;
+    exchange->headers = headers;
+    return exchange;
+  }
+
+  int OnWriteable(lws* wsi, Connection* connection) {
+    const ExchangeId id(connection->exchange);
+    Exchange* exchange = m_exchanges.Find(id);
+    if (exchange == nullptr || !exchange->responding) return 0;
+    if (!exchange->headers_sent && !WriteHeaders(wsi, exchange)) return -1;
+    if (!WriteBody(wsi, exchange)) return -1;
+    if (!exchange->ended || exchange->Pending() > 0) {
+      if (exchange->Pending() > 0) lws_callback_on_writable(wsi);
+      return 0;
+    }
+    const bool close = exchange->too_large;
+    m_exchanges.Erase(id);
+    connection->exchange = 0;
+    if (close) return -1;
+    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+  }
+
+  static bool WriteHeaders(lws* wsi, Exchange* exchange) {
+    std::array<uint8_t, LWS_PRE + kMaxResponseHeaderBytes> buffer;
+    uint8_t* start = buffer.data() + LWS_PRE;
+    uint8_t* at = start;
+    uint8_t* end = buffer.data() + buffer.size() - 1;
+    const lws_filepos_t length = exchange->has_length
+                                     ? exchange->Pending()
+                                     : LWS_ILLEGAL_HTTP_CONTENT_LEN;
+    if (lws_add_http_common_headers(
+            wsi, static_cast<unsigned int>(exchange->status),
+            exchange->content_type.c_str(), length, &at, end) != 0) {
+      return false;
+    }
+    for (const auto& [name, value] : exchange->headers) {
+      const std::string with_colon = name + ":";
+      if (lws_add_http_header_by_name(
+              wsi, reinterpret_cast<const uint8_t*>(with_colon.c_str()),
+              reinterpret_cast<const uint8_t*>(value.data()),
+              static_cast<int>(value.size()), &at, end) != 0) {
+        return false;
+      }
+    }
+    if (lws_finalize_write_http_header(wsi, start, &at, end) != 0) return false;
+    exchange->headers_sent = true;
+    return true;
+  }
+
+  static bool WriteBody(lws* wsi, Exchange* exchange) {
+    const size_t size = std::min(exchange->Pending(), kWriteBytes);
+    if (size == 0) return true;
+    static thread_local std::vector<uint8_t> buffer(LWS_PRE + kWriteBytes);
+    std::memcpy(buffer.data() + LWS_PRE,
+                exchange->out.data() + exchange->out_start, size);
+    const bool final = exchange->ended && size == exchange->Pending();
+    const int written =
+        lws_write(wsi, buffer.data() + LWS_PRE, size,
+                  final ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
+    if (written < 0) return false;
+    exchange->out_start += size;
+    if (exchange->Pending() == 0) {
+      exchange->out.clear();
+      exchange->out_start = 0;
+    }
+    return true;
+  }
+
+  Options m_options;
+  HttpHandler* m_handler;
+  lws_vhost* m_vhost = nullptr;
+  std::array<lws_protocols, 2> m_protocols{};
+  uint64_t m_last_id = 0;
+  Table<ExchangeId, Exchange> m_exchanges;
+};
+
+HttpServer::HttpServer(EventLoop* loop, const Options& options,
+                       HttpHandler* handler)
+    : m_impl(std::make_unique<Impl>(loop, options, handler)) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::Respond(ExchangeId id, int status,
+                         std::string_view content_type, std::string body,
+                         const HttpHeaders& headers) {
+  m_impl->Respond(id, status, content_type, std::move(body), headers);
+}
+
+void HttpServer::StartStream(ExchangeId id, int status,
+                             std::string_view content_type,
+                             const HttpHeaders& headers) {
+  m_impl->StartStream(id, status, content_type, headers);
+}
+
+void HttpServer::StreamData(ExchangeId id, std::string_view data) {
+  m_impl->StreamData(id, data);
+}
+
+void HttpServer::EndStream(ExchangeId id) { m_impl->EndStream(id); }
+
+void HttpServer::Abort(ExchangeId id) { m_impl->Abort(id); }
+
+size_t HttpServer::Backlog(ExchangeId id) const { return m_impl->Backlog(id); }
+
+size_t HttpServer::OpenExchanges() const { return m_impl->OpenExchanges(); }
+
+}  // namespace burdockhill
--- /dev/null
+++ b/burdockhill/src/wire/codec.cc
@@ -0,0 +1,425 @@
+#include "burdockhill/src/wire/codec.h"
+
+#include <optional>
+#include <utility>
+
+#include "burdockhill/src/wire/peer_generated.h"
+
+namespace burdockhill::wire {
+
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+// ---- Encoding ----
+
+Attempt ToWire(const AttemptId& id) {
+  return Attempt(id.request.Value(), id.entry.Value(), id.number);
+}
+
+Offset<flatbuffers::String> Text(Builder& b, const std::string& text) {
+  return text.empty() ? 0 : b.CreateString(text);
+}
+
+template <typename Tag>
+Offset<flatbuffers::String> Text(Builder& b, const NameId<Tag>& name) {
+  return Text(b, name.Value());
+}
+
+template <typename E>
+uint8_t Number(E value) {
+  return static_cast<uint8_t>(value);
+}
+
+// One overload a message: encodes it and returns its place in the union.
+struct Encoder {
+  Builder& b;
+  Body type = Body::NONE;
+  Offset<void> value = 0;
+
+  template <typename T>
+  void Set(Body body, Offset<T> offset) {
+    type = body;
+    value = offset.Union();
+  }
+
+  void operator()(const burdockhill::Hello& m) {
+    const auto nonce = b.CreateVector(
+        reinterpret_cast<const uint8_t*>(m.nonce.data()), m.nonce.size());
+    Set(Body::Hello,
+        CreateHello(b, Text(b, m.vm), Number(m.role), Text(b, m.zone),
+                    Text(b, m.region), m.incarnation.Value(), nonce));
+  }
+  void operator()(const burdockhill::Heartbeat& m) {
+    Set(Body::Heartbeat, CreateHeartbeat(b, m.sequence, m.reply));
+  }
+  void operator()(const burdockhill::ReserveDecode& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::ReserveDecode,
+        CreateReserveDecode(b, &a, Text(b, m.service), Number(m.request_class),
+                            m.prompt.Value(), m.expected_output.Value(),
+                            m.wait_budget.count()));
+  }
+  void operator()(const burdockhill::StartPrefill& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::StartPrefill,
+        CreateStartPrefill(b, &a, Text(b, m.service), Number(m.request_class),
+                           m.prompt.Value(), Text(b, m.text),
+                           Text(b, m.parameters), m.wait_budget.count()));
+  }
+  void operator()(const burdockhill::StartDecode& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::StartDecode,
+        CreateStartDecode(b, &a, Text(b, m.kv_handle), Text(b, m.kv_source),
+                          m.prompt.Value(), m.max_output.Value(),
+                          m.first_offset, Text(b, m.parameters)));
+  }
+  void operator()(const burdockhill::CancelAttempt& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::CancelAttempt, CreateCancelAttempt(b, &a));
+  }
+  void operator()(const burdockhill::RenewHolds& m) {
+    std::vector<Attempt> attempts;
+    attempts.reserve(m.attempts.size());
+    for (const AttemptId& id : m.attempts) attempts.push_back(ToWire(id));
+    Set(Body::RenewHolds,
+        CreateRenewHolds(b, b.CreateVectorOfStructs(attempts)));
+  }
+  void operator()(const burdockhill::AttachAttempt& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::AttachAttempt, CreateAttachAttempt(b, &a, m.offset));
+  }
+  void operator()(const burdockhill::CallService& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::CallService,
+        CreateCallService(b, &a, Text(b, m.service), Text(b, m.method),
+                          Text(b, m.path), Text(b, m.content_type),
+                          Text(b, m.idempotency_key), Text(b, m.body),
+                          m.timeout.count()));
+  }
+  void operator()(const burdockhill::ReserveGranted& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::ReserveGranted, CreateReserveGranted(b, &a, Text(b, m.engine)));
+  }
+  void operator()(const burdockhill::AttemptRefused& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::AttemptRefused,
+        CreateAttemptRefused(b, &a, Number(m.kind), m.retry_after.count()));
+  }
+  void operator()(const burdockhill::PrefillDone& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::PrefillDone,
+        CreatePrefillDone(b, &a, Text(b, m.kv_handle), Text(b, m.kv_source),
+                          m.prompt.Value(), m.reused.Value()));
+  }
+  void operator()(const burdockhill::StreamChunk& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::StreamChunk,
+        CreateStreamChunk(b, &a, m.offset, m.tokens, Text(b, m.text),
+                          Text(b, m.finish_reason)));
+  }
+  void operator()(const burdockhill::AttemptFailed& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::AttemptFailed, CreateAttemptFailed(b, &a, Number(m.kind)));
+  }
+  void operator()(const burdockhill::CallAnswered& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::CallAnswered,
+        CreateCallAnswered(b, &a, m.status, Text(b, m.content_type),
+                           Text(b, m.body)));
+  }
+  void operator()(const burdockhill::AttemptReleased& m) {
+    const Attempt a = ToWire(m.attempt);
+    Set(Body::AttemptReleased, CreateAttemptReleased(b, &a));
+  }
+  void operator()(const burdockhill::LoadReport& m) {
+    std::vector<Offset<EngineLoad>> engines;
+    engines.reserve(m.engines.size());
+    for (const burdockhill::EngineLoad& e : m.engines) {
+      engines.push_back(
+          CreateEngineLoad(b, Text(b, e.name), Number(e.role), e.healthy,
+                           e.running, e.slots, e.waiting, e.free_pieces.Value(),
+                           e.queued_prefill.Value(), e.prefill_rate));
+    }
+    Set(Body::LoadReport,
+        CreateLoadReport(b, Text(b, m.upstream), Text(b, m.service), m.plain,
+                         m.leaving, m.in_force.Value(), m.staged.Value(),
+                         b.CreateVector(engines)));
+  }
+  void operator()(const burdockhill::ConfigurationOffer& m) {
+    Set(Body::ConfigurationOffer,
+        CreateConfigurationOffer(b, m.generation.Value(), m.accepted,
+                                 Text(b, m.content)));
+  }
+  void operator()(const burdockhill::ConfigurationState& m) {
+    std::vector<Offset<VmConfiguration>> vms;
+    vms.reserve(m.vms.size());
+    for (const auto& vm : m.vms) {
+      vms.push_back(CreateVmConfiguration(
+          b, Text(b, vm.name), vm.staged.Value(), vm.in_force.Value()));
+    }
+    Set(Body::ConfigurationState,
+        CreateConfigurationState(b, b.CreateVector(vms)));
+  }
+};
+
+// ---- Decoding ----
+
+std::string Text(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+AttemptId FromWire(const Attempt* a) {
+  if (a == nullptr) return {};
+  return {RequestId(a->request()), a->number(), Incarnation(a->entry())};
+}
+
+// Reads an enumerator, or fails the decoder for a number outside the enum.
+template <typename E>
+bool ReadEnum(uint8_t number, E last, E* value) {
+  if (number > static_cast<uint8_t>(last)) return false;
+  *value = static_cast<E>(number);
+  return true;
+}
+
+std::optional<Message> Decode(const Hello& m) {
+  burdockhill::Hello out;
+  if (!ReadEnum(m.role(), Role::kAgent, &out.role)) return std::nullopt;
+  out.vm = VmName(Text(m.vm()));
+  out.zone = ZoneName(Text(m.zone()));
+  out.region = RegionName(Text(m.region()));
+  out.incarnation = Incarnation(m.incarnation());
+  if (m.nonce() != nullptr)
+    out.nonce.assign(m.nonce()->begin(), m.nonce()->end());
+  return out;
+}
+
+std::optional<Message> Decode(const Heartbeat& m) {
+  return burdockhill::Heartbeat{m.sequence(), m.reply()};
+}
+
+std::optional<Message> Decode(const ReserveDecode& m) {
+  burdockhill::ReserveDecode out;
+  if (!ReadEnum(m.request_class(), RequestClass::kBatch, &out.request_class)) {
+    return std::nullopt;
+  }
+  out.attempt = FromWire(m.attempt());
+  out.service = ServiceName(Text(m.service()));
+  out.prompt = Tokens(m.prompt());
+  out.expected_output = Tokens(m.expected_output());
+  out.wait_budget = Duration(m.wait_budget_us());
+  return out;
+}
+
+std::optional<Message> Decode(const StartPrefill& m) {
+  burdockhill::StartPrefill out;
+  if (!ReadEnum(m.request_class(), RequestClass::kBatch, &out.request_class)) {
+    return std::nullopt;
+  }
+  out.attempt = FromWire(m.attempt());
+  out.service = ServiceName(Text(m.service()));
+  out.prompt = Tokens(m.prompt());
+  out.text = Text(m.text());
+  out.parameters = Text(m.parameters());
+  out.wait_budget = Duration(m.wait_budget_us());
+  return out;
+}
+
+std::optional<Message> Decode(const StartDecode& m) {
+  return burdockhill::StartDecode{FromWire(m.attempt()),  Text(m.kv_handle()),
+                                  Text(m.kv_source()),    Tokens(m.prompt()),
+                                  Tokens(m.max_output()), m.first_offset(),
+                                  Text(m.parameters())};
+}
+
+std::optional<Message> Decode(const CancelAttempt& m) {
+  return burdockhill::CancelAttempt{FromWire(m.attempt())};
+}
+
+std::optional<Message> Decode(const RenewHolds& m) {
+  burdockhill::RenewHolds out;
+  if (m.attempts() == nullptr) return out;
+  out.attempts.reserve(m.attempts()->size());
+  for (const Attempt* a : *m.attempts()) out.attempts.push_back(FromWire(a));
+  return out;
+}
+
+std::optional<Message> Decode(const AttachAttempt& m) {
+  return burdockhill::AttachAttempt{FromWire(m.attempt()), m.offset()};
+}
+
+std::optional<Message> Decode(const CallService& m) {
+  return burdockhill::CallService{
+      FromWire(m.attempt()),  ServiceName(Text(m.service())),
+      Text(m.method()),       Text(m.path()),
+      Text(m.content_type()), Text(m.idempotency_key()),
+      Text(m.body()),         Duration(m.timeout_us())};
+}
+
+std::optional<Message> Decode(const ReserveGranted& m) {
+  return burdockhill::ReserveGranted{FromWire(m.attempt()),
+                                     EngineName(Text(m.engine()))};
+}
+
+std::optional<Message> Decode(const AttemptRefused& m) {
+  burdockhill::AttemptRefused out;
+  if (!ReadEnum(m.kind(), ErrorKind::kInternal, &out.kind)) return std::nullopt;
+  out.attempt = FromWire(m.attempt());
+  out.retry_after = Duration(m.retry_after_us());
+  return out;
+}
+
+std::optional<Message> Decode(const PrefillDone& m) {
+  return burdockhill::PrefillDone{FromWire(m.attempt()), Text(m.kv_handle()),
+                                  Text(m.kv_source()), Tokens(m.prompt()),
+                                  Tokens(m.reused())};
+}
+
+std::optional<Message> Decode(const StreamChunk& m) {
+  return burdockhill::StreamChunk{FromWire(m.attempt()), m.offset(), m.tokens(),
+                                  Text(m.text()), Text(m.finish_reason())};
+}
+
+std::optional<Message> Decode(const AttemptFailed& m) {
+  burdockhill::AttemptFailed out;
+  if (!ReadEnum(m.kind(), ErrorKind::kInternal, &out.kind)) return std::nullopt;
+  out.attempt = FromWire(m.attempt());
+  return out;
+}
+
+std::optional<Message> Decode(const CallAnswered& m) {
+  return burdockhill::CallAnswered{FromWire(m.attempt()), m.status(),
+                                   Text(m.content_type()), Text(m.body())};
+}
+
+std::optional<Message> Decode(const AttemptReleased& m) {
+  return burdockhill::AttemptReleased{FromWire(m.attempt())};
+}
+
+std::optional<Message> Decode(const LoadReport& m) {
+  burdockhill::LoadReport out;
+  out.upstream = UpstreamName(Text(m.upstream()));
+  out.service = ServiceName(Text(m.service()));
+  out.plain = m.plain();
+  out.leaving = m.leaving();
+  out.in_force = Generation(m.in_force());
+  out.staged = Generation(m.staged());
+  if (m.engines() == nullptr) return out;
+  for (const EngineLoad* e : *m.engines()) {
+    burdockhill::EngineLoad load;
+    if (!ReadEnum(e->role(), EngineRole::kDecode, &load.role)) {
+      return std::nullopt;
+    }
+    load.name = EngineName(Text(e->name()));
+    load.healthy = e->healthy();
+    load.running = e->running();
+    load.slots = e->slots();
+    load.waiting = e->waiting();
+    load.free_pieces = Pieces(e->free_pieces());
+    load.queued_prefill = Tokens(e->queued_prefill());
+    load.prefill_rate = e->prefill_rate();
+    out.engines.push_back(std::move(load));
+  }
+  return out;
+}
+
+std::optional<Message> Decode(const ConfigurationOffer& m) {
+  return burdockhill::ConfigurationOffer{Generation(m.generation()),
+                                         m.accepted(), Text(m.content())};
+}
+
+std::optional<Message> Decode(const ConfigurationState& m) {
+  burdockhill::ConfigurationState out;
+  if (m.vms() == nullptr) return out;
+  for (const VmConfiguration* vm : *m.vms()) {
+    out.vms.push_back({VmName(Text(vm->name())), Generation(vm->staged()),
+                       Generation(vm->in_force())});
+  }
+  return out;
+}
+
+std::optional<Message> DecodeBody(const Envelope& e) {
+  switch (e.body_type()) {
+    case Body::NONE:
+      return std::nullopt;
+    case Body::Hello:
+      return Decode(*e.body_as_Hello());
+    case Body::Heartbeat:
+      return Decode(*e.body_as_Heartbeat());
+    case Body::ReserveDecode:
+      return Decode(*e.body_as_ReserveDecode());
+    case Body::StartPrefill:
+      return Decode(*e.body_as_StartPrefill());
+    case Body::StartDecode:
+      return Decode(*e.body_as_StartDecode());
+    case Body::CancelAttempt:
+      return Decode(*e.body_as_CancelAttempt());
+    case Body::RenewHolds:
+      return Decode(*e.body_as_RenewHolds());
+    case Body::AttachAttempt:
+      return Decode(*e.body_as_AttachAttempt());
+    case Body::CallService:
+      return Decode(*e.body_as_CallService());
+    case Body::ReserveGranted:
+      return Decode(*e.body_as_ReserveGranted());
+    case Body::AttemptRefused:
+      return Decode(*e.body_as_AttemptRefused());
+    case Body::PrefillDone:
+      return Decode(*e.body_as_PrefillDone());
+    case Body::StreamChunk:
+      return Decode(*e.body_as_StreamChunk());
+    case Body::AttemptFailed:
+      return Decode(*e.body_as_AttemptFailed());
+    case Body::CallAnswered:
+      return Decode(*e.body_as_CallAnswered());
+    case Body::AttemptReleased:
+      return Decode(*e.body_as_AttemptReleased());
+    case Body::LoadReport:
+      return Decode(*e.body_as_LoadReport());
+    case Body::ConfigurationOffer:
+      return Decode(*e.body_as_ConfigurationOffer());
+    case Body::ConfigurationState:
+      return Decode(*e.body_as_ConfigurationState());
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodeMessages(std::span<const Message> messages) {
+  Builder builder;
+  std::vector<Offset<Envelope>> envelopes;
+  envelopes.reserve(messages.size());
+  for (const Message& message : messages) {
+    Encoder encoder{builder};
+    std::visit(encoder, message);
+    envelopes.push_back(CreateEnvelope(builder, encoder.type, encoder.value));
+  }
+  builder.Finish(CreateFrame(builder, builder.CreateVector(envelopes)));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+bool DecodeMessages(std::string_view payload, std::vector<Message>* messages) {
+  constexpr size_t kMaxDepth = 8;
+  constexpr size_t kMaxTables = 1'000'000;
+  // FlatBuffers reads scalars in place, so the buffer has to be aligned.
+  const std::vector<uint8_t> aligned(payload.begin(), payload.end());
+  const uint8_t* bytes = aligned.data();
+  flatbuffers::Verifier verifier(bytes, payload.size(), kMaxDepth, kMaxTables);
+  if (!VerifyFrameBuffer(verifier)) return false;
+  const Frame* frame = GetFrame(bytes);
+  if (frame->messages() == nullptr) return true;
+  std::vector<Message> decoded;
+  decoded.reserve(frame->messages()->size());
+  for (const Envelope* envelope : *frame->messages()) {
+    std::optional<Message> message = DecodeBody(*envelope);
+    if (!message.has_value()) return false;
+    decoded.push_back(*std::move(message));
+  }
+  std::move(decoded.begin(), decoded.end(), std::back_inserter(*messages));
+  return true;
+}
+
+}  // namespace burdockhill::wire
--- /dev/null
+++ b/burdockhill/src/wire/codec.h
@@ -0,0 +1,23 @@
+#ifndef BURDOCKHILL_SRC_WIRE_CODEC_H_
+#define BURDOCKHILL_SRC_WIRE_CODEC_H_
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "burdockhill/src/peer/message.h"
+
+namespace burdockhill::wire {
+
+// Encodes messages into the payload of one frame.
+std::string EncodeMessages(std::span<const Message> messages);
+
+// Decodes a payload from an untrusted source and appends its messages to
+// `messages`. Returns false, with `messages` unchanged, unless the payload is
+// well-formed in every part.
+bool DecodeMessages(std::string_view payload, std::vector<Message>* messages);
+
+}  // namespace burdockhill::wire
+
+#endif  // BURDOCKHILL_SRC_WIRE_CODEC_H_
--- /dev/null
+++ b/burdockhill/transport.h
@@ -0,0 +1,13 @@
+#ifndef BURDOCKHILL_TRANSPORT_H_
+#define BURDOCKHILL_TRANSPORT_H_
+
+// Module transport: the event loop, HTTP server, HTTP client and peer
+// connections, all on one libwebsockets context and one thread. The only
+// module that knows libwebsockets.
+
+#include "burdockhill/src/transport/event_loop.h"      // IWYU pragma: export
+#include "burdockhill/src/transport/http_client.h"     // IWYU pragma: export
+#include "burdockhill/src/transport/http_server.h"     // IWYU pragma: export
+#include "burdockhill/src/transport/peer_transport.h"  // IWYU pragma: export
+
+#endif  // BURDOCKHILL_TRANSPORT_H_
--- /dev/null
+++ b/standins/plain_main.cc
@@ -0,0 +1,112 @@
+// Stand-in for a plain service that takes bookings or orders. GET calls may be
+// repeated; every other call counts as an execution, by body.
+
+#include <iostream>
+#include <map>
+
+#include "burdockhill/src/daemon/stop_signal.h"
+#include "standins/standin_main.h"
+
+namespace burdockhill::standins {
+namespace {
+
+using nlohmann::json;
+
+class PlainServer : public HttpHandler {
+ public:
+  PlainServer(EventLoop* loop, const Clock* clock, const json& settings)
+      : m_clock(clock),
+        m_name(settings.value("name", "plain")),
+        m_delay(MillisecondsOr(settings, "delay_ms", Duration(5000))) {
+    HttpServer::Options options;
+    options.address = *ParseAddress(settings.at("address").get<std::string>());
+    m_server = std::make_unique<HttpServer>(loop, options, this);
+  }
+
+  void OnRequest(ExchangeId id, HttpRequest request) override {
+    if (request.path == "/healthz") {
+      return RespondJson(m_server.get(), id, 200, {{"status", "ok"}});
+    }
+    if (request.path == "/admin/executions") {
+      return RespondJson(
+          m_server.get(), id, 200,
+          {{"total", m_total}, {"by_body", m_executions}, {"reads", m_reads}});
+    }
+    if (request.path == "/admin/delay") {
+      m_delay = std::chrono::milliseconds(
+          std::stoll("0" + QueryValue(request.query, "ms", "0")));
+      return RespondJson(m_server.get(), id, 200, json::object());
+    }
+    m_waiting.emplace_back(m_clock->Now() + m_delay,
+                           Answer{id, Execute(request)});
+  }
+
+  void OnClosed(ExchangeId id) override {
+    std::erase_if(m_waiting,
+                  [&](const auto& item) { return item.second.id == id; });
+  }
+
+  void Step() {
+    const TimePoint now = m_clock->Now();
+    while (!m_waiting.empty() && m_waiting.front().first <= now) {
+      const Answer answer = m_waiting.front().second;
+      m_waiting.erase(m_waiting.begin());
+      RespondJson(m_server.get(), answer.id, 200, answer.body);
+    }
+  }
+
+ private:
+  struct Answer {
+    ExchangeId id;
+    json body;
+  };
+
+  json Execute(const HttpRequest& request) {
+    if (request.method == "GET") {
+      ++m_reads;
+      return {{"service", m_name}, {"path", request.path}, {"total", m_total}};
+    }
+    ++m_total;
+    ++m_executions[request.body];
+    return {{"service", m_name},
+            {"path", request.path},
+            {"number", m_total},
+            {"status", "accepted"}};
+  }
+
+  const Clock* m_clock;
+  std::string m_name;
+  Duration m_delay;
+  std::unique_ptr<HttpServer> m_server;
+  std::vector<std::pair<TimePoint, Answer>> m_waiting;
+  int64_t m_total = 0;
+  int64_t m_reads = 0;
+  std::map<std::string, int64_t> m_executions;
+};
+
+int Run(const json& settings) {
+  const SystemClock clock;
+  EventLoop loop;
+  WatchStopSignals(&loop);
+  PlainServer server(&loop, &clock, settings);
+  while (!StopRequested()) {
+    loop.WakeAfter(std::chrono::milliseconds(2));
+    loop.RunOnce();
+    server.Step();
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace burdockhill::standins
+
+int main(int argc, char** argv) {
+  const auto settings = burdockhill::standins::ReadSettingsFile(argc, argv);
+  if (!settings.has_value()) return 2;
+  try {
+    return burdockhill::standins::Run(*settings);
+  } catch (const std::exception& error) {
+    std::cerr << "plain stand-in: " << error.what() << "\n";
+    return 1;
+  }
+}
