--- a/burdockhill/src/adapters/caller_api.cc
+++ b/burdockhill/src/adapters/caller_api.cc
@@ -28,7 +28,7 @@
 std::string KeyDigest(const std::string& authorization) {
   if (!authorization.starts_with(kBearer)) return {};
   const std::string_view key =
-      std::string_view(authorization).substr(kBearer.size());
+      std::string_view{authorization}.substr(kBearer.size());
   unsigned char digest[EVP_MAX_MD_SIZE];
   unsigned int size = 0;
   EVP_Digest(key.data(), key.size(), digest, &size, EVP_sha256(), nullptr);
@@ -139,7 +139,7 @@
 }
 
 void CallerApi::OnCompletion(ExchangeId id, CompletionStyle style,
-                             HttpRequest request) {
+                             const HttpRequest& request) {
   std::string message;
   std::optional<CompletionRequest> parsed =
       ParseCompletion(style, request.body, &message);
@@ -159,7 +159,7 @@
 
 void CallerApi::OnServiceCall(ExchangeId id, HttpRequest request) {
   const std::string_view rest =
-      std::string_view(request.path).substr(kServicesPath.size());
+      std::string_view{request.path}.substr(kServicesPath.size());
   const size_t slash = rest.find('/');
   CallerRequest asked;
   asked.id = RequestId(m_random->NextId());
--- a/burdockhill/src/adapters/caller_api.h
+++ b/burdockhill/src/adapters/caller_api.h
@@ -46,7 +46,8 @@
     std::string text;      // Collected when not streaming.
   };
 
-  void OnCompletion(ExchangeId id, CompletionStyle style, HttpRequest request);
+  void OnCompletion(ExchangeId id, CompletionStyle style,
+                    const HttpRequest& request);
   void OnServiceCall(ExchangeId id, HttpRequest request);
   void OnModels(ExchangeId id, const HttpRequest& request);
   void Submit(ExchangeId exchange, CallerRequest request, Open open);
--- a/burdockhill/src/adapters/engine_client.cc
+++ b/burdockhill/src/adapters/engine_client.cc
@@ -129,7 +129,7 @@
     const size_t end = partial->find('\n', start);
     if (end == std::string::npos) break;
     OnStreamLine(attempt,
-                 std::string_view(*partial).substr(start, end - start));
+                 std::string_view{*partial}.substr(start, end - start));
     start = end + 1;
   }
   partial->erase(0, start);
--- a/burdockhill/src/base/random.h
+++ b/burdockhill/src/base/random.h
@@ -27,7 +27,8 @@
   Duration Jitter(Duration base) {
     constexpr double kSpread = 0.5;
     const double factor = 1.0 - kSpread + 2.0 * kSpread * Unit();
-    return Duration(static_cast<int64_t>(base.count() * factor));
+    return Duration(
+        static_cast<int64_t>(static_cast<double>(base.count()) * factor));
   }
 
  private:
--- a/burdockhill/src/ctl/status_table.cc
+++ b/burdockhill/src/ctl/status_table.cc
@@ -115,7 +115,7 @@
   const size_t start = labels->find("le=\"");
   if (start == std::string::npos) return {};
   const size_t end = labels->find('"', start + 4);
-  const std::string bound = labels->substr(start + 4, end - start - 4);
+  std::string bound = labels->substr(start + 4, end - start - 4);
   size_t from = start;
   if (from > 0 && (*labels)[from - 1] == ',') --from;
   labels->erase(from, end + 1 - from);
--- a/burdockhill/src/ctl/verbs.cc
+++ b/burdockhill/src/ctl/verbs.cc
@@ -164,7 +164,8 @@
     return kExitOk;
   }
   std::vector<std::vector<std::string>> rows = {{"AFTER", "PART", "REASON"}};
-  for (const json& decision : answer.Json()["decisions"]) {
+  const json found = answer.Json();
+  for (const json& decision : found["decisions"]) {
     constexpr double kMicrosecondsPerMillisecond = 1e3;
     char after[32];
     std::snprintf(
--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -255,7 +255,7 @@
     state.refused = m_refused;
     const bool is_news = !m_refused.empty() || m_state.staged.IsValid() ||
                          m_state.coordinator != m_board->self.vm;
-    if (is_news) return WriteState(std::move(state), Stage::kIdle);
+    if (is_news) return WriteState(state, Stage::kIdle);
     m_state.decided_revision = m_change_revision;
     return;
   }
@@ -332,7 +332,7 @@
                  state.staged = generation;
                  state.coordinator = m_board->self.vm;
                  m_stage_deadline = m_board->now + kStagingTime;
-                 WriteState(std::move(state), Stage::kCollecting);
+                 WriteState(state, Stage::kCollecting);
                });
 }
 
@@ -362,7 +362,7 @@
   state.staged = Generation();
   state.decided_revision = m_change_revision;
   state.refused = m_refused;
-  WriteState(std::move(state), Stage::kIdle);
+  WriteState(state, Stage::kIdle);
 }
 
 void ConfigurationCoordinator::RefuseChange(const std::string& reason) {
@@ -378,10 +378,10 @@
   }
   state.decided_revision = m_change_revision;
   m_proposed = m_accepted;
-  WriteState(std::move(state), Stage::kIdle);
+  WriteState(state, Stage::kIdle);
 }
 
-void ConfigurationCoordinator::WriteState(ConfigurationStateObject state,
+void ConfigurationCoordinator::WriteState(const ConfigurationStateObject& state,
                                           Stage next) {
   m_stage = Stage::kAccepting;
   const std::string text = FormatState(state);
--- a/burdockhill/src/entry/configuration_coordinator.h
+++ b/burdockhill/src/entry/configuration_coordinator.h
@@ -64,7 +64,7 @@
                                      bool in_force) const;
   void Accept();
   void RefuseChange(const std::string& reason);
-  void WriteState(ConfigurationStateObject state, Stage next);
+  void WriteState(const ConfigurationStateObject& state, Stage next);
 
   void ConnectToCoordinator();
   void UpdateRollout();
--- a/burdockhill/src/resources/field_reader.cc
+++ b/burdockhill/src/resources/field_reader.cc
@@ -170,7 +170,8 @@
 
 void FieldReader::ReadMilliseconds(const char* name, Need need,
                                    Duration* target) {
-  constexpr int64_t kLongest = 24 * 3600 * 1000;
+  constexpr int64_t kLongest =
+      std::chrono::milliseconds(std::chrono::hours(24)).count();
   int64_t value =
       std::chrono::duration_cast<std::chrono::milliseconds>(*target).count();
   Read(name, need, 1, kLongest, &value);
--- a/burdockhill/src/transport/http_client.cc
+++ b/burdockhill/src/transport/http_client.cc
@@ -9,13 +9,14 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
+#include "burdockhill/src/transport/opaque_id.h"
 
 namespace burdockhill {
 
 namespace {
 
 constexpr char kProtocolName[] = "http-client";
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = size_t{16} << 10;
 constexpr unsigned int kConnectTimeoutSeconds = 3;
 
 struct Call {
@@ -28,10 +29,7 @@
   size_t sent = 0;
 };
 
-ClientCallId IdOf(lws* wsi) {
-  return ClientCallId(
-      reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi)));
-}
+ClientCallId IdOf(lws* wsi) { return internal::FromOpaque<ClientCallId>(wsi); }
 
 }  // namespace
 
@@ -99,7 +97,7 @@
     info.method = call->request.method.c_str();
     info.protocol = kProtocolName;
     info.local_protocol_name = kProtocolName;
-    info.opaque_user_data = reinterpret_cast<void*>(id.Value());
+    info.opaque_user_data = internal::ToOpaque(id);
     call->wsi = lws_client_connect_via_info(&info);
   }
 
@@ -141,8 +139,6 @@
         return OnComplete(wsi);
       case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-        if (IdOf(wsi) != m_starting) End(IdOf(wsi));
-        return 0;
       case LWS_CALLBACK_WSI_DESTROY:
         if (IdOf(wsi) != m_starting) End(IdOf(wsi));
         return 0;
--- a/burdockhill/src/transport/http_server.cc
+++ b/burdockhill/src/transport/http_server.cc
@@ -18,7 +18,7 @@
 constexpr size_t kMaxHeaderBytes = 8192;
 constexpr size_t kMaxResponseHeaderBytes = 4096;
 // Largest part of a body that is handed to the socket at once.
-constexpr size_t kWriteBytes = 64 * 1024;
+constexpr size_t kWriteBytes = size_t{64} << 10;
 
 // State of one exchange between request and end of response.
 struct Exchange {
--- a/burdockhill/src/transport/peer_transport.cc
+++ b/burdockhill/src/transport/peer_transport.cc
@@ -12,6 +12,7 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
+#include "burdockhill/src/transport/opaque_id.h"
 #include "burdockhill/src/wire/peer_session.h"
 
 namespace burdockhill {
@@ -19,7 +20,7 @@
 namespace {
 
 constexpr char kProtocolName[] = "peer";
-constexpr size_t kWriteBytes = 64 * 1024;
+constexpr size_t kWriteBytes = size_t{64} << 10;
 constexpr size_t kNonceWords = 4;
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
 // A peer that does not read is cut off once this much waits for it.
@@ -51,10 +52,7 @@
   std::vector<Message> queue;
 };
 
-ConnectionId IdOf(lws* wsi) {
-  return ConnectionId(
-      reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi)));
-}
+ConnectionId IdOf(lws* wsi) { return internal::FromOpaque<ConnectionId>(wsi); }
 
 }  // namespace
 
@@ -159,7 +157,7 @@
     info.port = address.port;
     info.method = "RAW";
     info.local_protocol_name = kProtocolName;
-    info.opaque_user_data = reinterpret_cast<void*>(id.Value());
+    info.opaque_user_data = internal::ToOpaque(id);
     lws* wsi = lws_client_connect_via_info(&info);
     Connection* dialled = m_connections.Find(id);
     if (dialled == nullptr) return;
@@ -205,7 +203,7 @@
         m_connections.FindOrInsert(id, wire::PeerSession::Side::kAccepting,
                                    m_options.shared_key, SelfWithNonce());
     connection.wsi = wsi;
-    lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(id.Value()));
+    lws_set_opaque_user_data(wsi, internal::ToOpaque(id));
     Write(&connection, connection.session.Open());
   }
 
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -3,7 +3,7 @@
 #include <optional>
 #include <utility>
 
-#include "burdockhill/src/wire/peer_generated.h"
+#include "generated/peer_generated.h"
 
 namespace burdockhill::wire {
 
--- a/burdockhill/src/wire/peer_session.cc
+++ b/burdockhill/src/wire/peer_session.cc
@@ -63,7 +63,7 @@
   m_received.append(bytes);
   size_t start = 0;
   while (m_received.size() - start >= kHeaderBytes) {
-    const std::string_view rest = std::string_view(m_received).substr(start);
+    const std::string_view rest = std::string_view{m_received}.substr(start);
     const size_t length = ReadNumber(rest.substr(0, kLengthBytes));
     if (length > kMaxFrameBytes) return ErrorKind::kBadRequest;
     if (rest.size() < kHeaderBytes + length) break;
--- /dev/null
+++ b/emulation/caller_log.h
@@ -0,0 +1,79 @@
+#ifndef BURDOCKHILL_EMULATION_CALLER_LOG_H_
+#define BURDOCKHILL_EMULATION_CALLER_LOG_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "burdockhill/entry.h"
+
+namespace burdockhill::emulation {
+
+// All that one caller has seen of its request.
+struct CallerView {
+  CallerRequest asked;
+  size_t entry = 0;  // Index of the entry it was sent to.
+  TimePoint sent{};
+  std::string text;
+  int64_t token_events = 0;
+  int64_t finals = 0;  // Final answers; more than one breaks a promise.
+  std::string finish_reason;
+  std::optional<RequestError> error;
+  std::optional<std::string> answer;  // Of a plain service.
+  std::optional<TimePoint> first_token_at;
+  std::optional<TimePoint> ended_at;
+  bool gone = false;        // Has closed its connection.
+  bool entry_lost = false;  // Its entry crashed; it was told nothing more.
+
+  bool IsOpen() const { return finals == 0 && !gone && !entry_lost; }
+};
+
+// Records what callers see, in place of their connections.
+class CallerLog : public CallerPort {
+ public:
+  explicit CallerLog(const Clock* clock) : m_clock(clock) {}
+
+  CallerView& Add(const CallerRequest& asked, size_t entry) {
+    CallerView& view = m_views[asked.id];
+    view.asked = asked;
+    view.entry = entry;
+    view.sent = m_clock->Now();
+    return view;
+  }
+
+  std::map<RequestId, CallerView>& Views() { return m_views; }
+
+  void OnTokens(RequestId id, const std::string& text) override {
+    CallerView& view = m_views.at(id);
+    view.text += text;
+    ++view.token_events;
+    if (!view.first_token_at) view.first_token_at = m_clock->Now();
+  }
+  void OnFinished(RequestId id, const std::string& finish_reason,
+                  const TokenUsage& /*usage*/) override {
+    End(id).finish_reason = finish_reason;
+  }
+  void OnAnswer(RequestId id, int /*status*/,
+                const std::string& /*content_type*/,
+                const std::string& body) override {
+    End(id).answer = body;
+  }
+  void OnError(RequestId id, const RequestError& error) override {
+    End(id).error = error;
+  }
+
+ private:
+  CallerView& End(RequestId id) {
+    CallerView& view = m_views.at(id);
+    ++view.finals;
+    view.ended_at = m_clock->Now();
+    return view;
+  }
+
+  const Clock* m_clock;
+  std::map<RequestId, CallerView> m_views;
+};
+
+}  // namespace burdockhill::emulation
+
+#endif  // BURDOCKHILL_EMULATION_CALLER_LOG_H_
--- /dev/null
+++ b/emulation/event_queue.h
@@ -0,0 +1,45 @@
+#ifndef BURDOCKHILL_EMULATION_EVENT_QUEUE_H_
+#define BURDOCKHILL_EMULATION_EVENT_QUEUE_H_
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "burdockhill/base.h"
+
+namespace burdockhill::emulation {
+
+// Actions that are due at given times of a paused clock. Actions due at the
+// same time run in the order in which they were added.
+class EventQueue {
+ public:
+  explicit EventQueue(ManualClock* clock) : m_clock(clock) {}
+
+  void After(Duration delay, std::function<void()> action) {
+    m_events.emplace(std::pair(m_clock->Now() + delay, m_next_order++),
+                     std::move(action));
+  }
+
+  // Runs what is due until `until` and leaves the clock there. `between` is
+  // called after each action.
+  void RunUntil(TimePoint until, const std::function<void()>& between) {
+    while (!m_events.empty() && m_events.begin()->first.first <= until) {
+      const TimePoint at = m_events.begin()->first.first;
+      if (at > m_clock->Now()) m_clock->Advance(at - m_clock->Now());
+      const std::function<void()> action = std::move(m_events.begin()->second);
+      m_events.erase(m_events.begin());
+      action();
+      between();
+    }
+    if (until > m_clock->Now()) m_clock->Advance(until - m_clock->Now());
+  }
+
+ private:
+  ManualClock* m_clock;
+  uint64_t m_next_order = 0;
+  std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> m_events;
+};
+
+}  // namespace burdockhill::emulation
+
+#endif  // BURDOCKHILL_EMULATION_EVENT_QUEUE_H_
--- /dev/null
+++ b/emulation/node.h
@@ -0,0 +1,70 @@
+#ifndef BURDOCKHILL_EMULATION_NODE_H_
+#define BURDOCKHILL_EMULATION_NODE_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "burdockhill/base.h"
+#include "burdockhill/peer.h"
+
+namespace burdockhill::emulation {
+
+// What a process is, whatever its role. A crash ends one life; what was on its
+// way to that life is lost. A paused process handles nothing until it is woken,
+// then everything at once.
+class Node {
+ public:
+  explicit Node(const Hello& hello) : m_hello(hello) {}
+  virtual ~Node() = default;
+
+  virtual PeerEvents* Events() = 0;  // Null while crashed.
+  virtual void Step() = 0;
+
+  const Hello& Self() const { return m_hello; }
+  bool IsUp() const { return m_up; }
+  bool IsPaused() const { return m_paused; }
+  uint64_t Life() const { return m_life; }
+
+  // Runs `action` in this process, if its life is still `life`; later when it
+  // is paused.
+  void Run(uint64_t life, std::function<void()> action) {
+    if (life != m_life || !m_up) return;
+    if (m_paused) {
+      m_deferred.push_back(std::move(action));
+      return;
+    }
+    action();
+  }
+
+  void Pause() { m_paused = true; }
+  void Resume() {
+    m_paused = false;
+    for (const auto& action : std::exchange(m_deferred, {})) action();
+  }
+
+ protected:
+  void BeginLife(Incarnation incarnation) {
+    m_hello.incarnation = incarnation;
+    m_up = true;
+    ++m_life;
+  }
+  void EndLife() {
+    m_up = false;
+    m_paused = false;
+    m_deferred.clear();
+    ++m_life;
+  }
+
+ private:
+  Hello m_hello;
+  bool m_up = false;
+  bool m_paused = false;
+  uint64_t m_life = 0;
+  std::vector<std::function<void()>> m_deferred;
+};
+
+}  // namespace burdockhill::emulation
+
+#endif  // BURDOCKHILL_EMULATION_NODE_H_
--- /dev/null
+++ b/emulation/store_fake.h
@@ -0,0 +1,91 @@
+#ifndef BURDOCKHILL_EMULATION_STORE_FAKE_H_
+#define BURDOCKHILL_EMULATION_STORE_FAKE_H_
+
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "emulation/event_queue.h"
+#include "emulation/node.h"
+#include "standins/platform_model.h"
+
+namespace burdockhill::emulation {
+
+// Faults of the platform.
+struct StoreFaults {
+  bool outage = false;
+  Duration slowness{0};
+  uint64_t lose_answer = 0;   // In a thousand, after the write took effect.
+  bool skip_watches = false;  // Watches wait out their time whatever happens.
+};
+
+// The platform, shared by all processes.
+class PlatformFake {
+ public:
+  PlatformFake(EventQueue* queue, ManualClock* clock, Random* random)
+      : m_queue(queue), m_clock(clock), m_random(random) {}
+
+  standins::PlatformModel& Model() { return m_model; }
+  StoreFaults& Faults() { return m_faults; }
+  std::vector<ListedVm>& Vms() { return m_vms; }
+  uint64_t Reads() const { return m_reads; }
+  uint64_t Writes() const { return m_writes; }
+
+  // Answers watches that have news or have waited long enough. Call often.
+  void AnswerWatches();
+
+  // Runs `call` at the platform and `answer` with its result afterwards.
+  // `lost` is called instead when the platform does not answer.
+  void Call(bool is_write, std::function<void()> call,
+            std::function<void()> answer, std::function<void()> lost);
+
+  void Watch(const std::vector<std::string>& kinds, uint64_t since,
+             ObjectStore::WatchDone done);
+
+ private:
+  struct Wait {
+    std::vector<std::string> kinds;
+    uint64_t since = 0;
+    TimePoint deadline{};
+    ObjectStore::WatchDone done;
+  };
+
+  EventQueue* m_queue;
+  ManualClock* m_clock;
+  Random* m_random;
+  standins::PlatformModel m_model;
+  StoreFaults m_faults;
+  std::vector<ListedVm> m_vms;
+  std::list<Wait> m_waits;
+  uint64_t m_reads = 0;
+  uint64_t m_writes = 0;
+};
+
+// The store as one process reaches it.
+class StoreFake : public ObjectStore {
+ public:
+  StoreFake(PlatformFake* platform, Node* node)
+      : m_platform(platform), m_node(node) {}
+
+  void Get(const ResourceKey& key, GetDone done) override;
+  void Put(const ResourceKey& key, const std::string& value,
+           uint64_t expected_version, PutDone done) override;
+  void Delete(const ResourceKey& key, uint64_t expected_version,
+              PutDone done) override;
+  void Watch(const std::vector<std::string>& kinds, uint64_t since,
+             WatchDone done) override;
+  void ListVms(ListDone done) override;
+
+ private:
+  // `action`, bound to the present life of the process.
+  std::function<void()> InProcess(std::function<void()> action);
+  void Write(std::function<StoreStatus(uint64_t*)> write, PutDone done);
+
+  PlatformFake* m_platform;
+  Node* m_node;
+};
+
+}  // namespace burdockhill::emulation
+
+#endif  // BURDOCKHILL_EMULATION_STORE_FAKE_H_
--- /dev/null
+++ b/emulation/world.h
@@ -0,0 +1,106 @@
+#ifndef BURDOCKHILL_EMULATION_WORLD_H_
+#define BURDOCKHILL_EMULATION_WORLD_H_
+
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulation/caller_log.h"
+#include "emulation/entry_fake.h"
+#include "emulation/event_queue.h"
+#include "emulation/network_fake.h"
+#include "emulation/store_fake.h"
+#include "emulation/upstream_fake.h"
+
+namespace burdockhill::emulation {
+
+// Sizes of a small deployment: places, each with an entry, prefill and decode
+// runners and one VM of a plain service. The last place is a region of its own.
+struct WorldOptions {
+  uint64_t seed = 1;
+  size_t zones = 2;
+  size_t entries_per_zone = 1;
+  size_t prefill_runners = 1;  // A zone.
+  size_t decode_runners = 2;   // A zone.
+  size_t engines_per_runner = 1;
+  bool one_region = true;
+  standins::EngineOptions engine;  // Of both roles.
+  std::string tenant_limits =
+      R"("requests_per_second":10000,"burst":10000,"max_concurrent":10000)";
+  std::string policy = R"({"first_token_limit_ms":5000})";
+};
+
+// Real controllers of several entries and agents in one process, with fakes at
+// their interfaces, under a paused clock. The same seed and the same calls
+// give the same run.
+class World {
+ public:
+  static constexpr char kModel[] = "digest-llm";
+  static constexpr char kPlain[] = "booking-app";
+  static constexpr char kKey[] =
+      "0000000000000000000000000000000000000000000000000000000000000000";
+
+  explicit World(const WorldOptions& options);
+
+  // Lets time pass.
+  void Run(Duration time);
+
+  // Runs until every VM has the newest configuration, at most `limit`.
+  bool RunUntilReady(Duration limit = std::chrono::seconds(30));
+
+  // Sends a request to an entry. Returns nullopt when that is down or paused.
+  std::optional<RequestId> Send(size_t entry, CallerRequest request);
+  std::optional<RequestId> SendPrompt(size_t entry, const std::string& prompt,
+                                      int64_t max_tokens);
+  std::optional<RequestId> SendCall(size_t entry, const std::string& method,
+                                    const std::string& body,
+                                    const std::string& key = {});
+  // The caller closes its connection.
+  void Close(RequestId id);
+
+  void CrashEntry(size_t index);
+
+  // Operators' writes.
+  void WriteResource(const std::string& kind, const std::string& name,
+                     const std::string& spec);
+
+  std::vector<std::unique_ptr<EntryFake>>& Entries() { return m_entries; }
+  std::vector<std::unique_ptr<UpstreamFake>>& Upstreams() {
+    return m_upstreams;
+  }
+  CallerLog& Callers() { return m_callers; }
+  NetworkFake& Network() { return m_network; }
+  PlatformFake& Platform() { return m_platform; }
+  ExecutionLog& Executions() { return m_executions; }
+  const ManualClock& Time() const { return m_clock; }
+  Random& Source() { return m_random; }
+
+  // Ids of engine requests that hold memory or wait in any engine.
+  std::vector<std::string> HeldInEngines() const;
+
+ private:
+  void AddUpstream(const std::string& vm, const ZoneName& zone,
+                   const RegionName& region, bool plain,
+                   const std::vector<standins::EngineOptions>& engines);
+  void List(const Hello& hello);
+  void WriteResources();
+  void StepAll();
+
+  WorldOptions m_options;
+  ManualClock m_clock;
+  Random m_random;
+  EventQueue m_queue;
+  NetworkFake m_network;
+  PlatformFake m_platform;
+  CallerLog m_callers;
+  EngineDirectory m_directory;
+  ExecutionLog m_executions;
+  std::vector<std::unique_ptr<EntryFake>> m_entries;
+  std::vector<std::unique_ptr<UpstreamFake>> m_upstreams;
+  TimePoint m_next_redial{};
+};
+
+}  // namespace burdockhill::emulation
+
+#endif  // BURDOCKHILL_EMULATION_WORLD_H_
