--- /dev/null
+++ b/tests/resources_test.cc
@@ -0,0 +1,166 @@
+// Module resources: strict reading of settings and operators' resources.
+
+#include "burdockhill/resources.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace burdockhill;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr char kEntry[] = R"({
+  // The entry of one zone.
+  "role": "entry",
+  "vm": "entry-1", "zone": "z", "region": "r",
+  "platform": "127.0.0.1:1", "peers": "127.0.0.1:2",
+  "operators": "127.0.0.1:3", "callers": "127.0.0.1:4",
+  "peer_key": "0123456789abcdef"
+})";
+
+std::string SettingsErrors(const std::string& text) {
+  FieldErrors errors;
+  CHECK(!ParseSettings(text, &errors).has_value());
+  return FormatErrors(errors);
+}
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  const size_t at = text.find(from);
+  CHECK(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+std::string Configured(const std::string& resources) {
+  return R"({"resources":[)" + resources + "]}";
+}
+
+std::string ConfigurationErrors(const std::string& resources) {
+  FieldErrors errors;
+  CHECK(!ParseConfiguration(Configured(resources), &errors).has_value());
+  return FormatErrors(errors);
+}
+
+constexpr char kModel[] = R"({"kind":"ModelService","name":"m","spec":{}})";
+
+}  // namespace
+
+TEST_GROUP(SettingsFile){};
+
+TEST(SettingsFile, TakesComments) {
+  FieldErrors errors;
+  const auto settings = ParseSettings(kEntry, &errors);
+  CHECK(settings.has_value());
+  STRCMP_EQUAL("entry-1", settings->vm.Value().c_str());
+  CHECK(settings->role == Role::kEntry);
+}
+
+TEST(SettingsFile, NamesUnknownFieldsWithTheirLine) {
+  STRCMP_CONTAINS(
+      "line 5: /platfrom: is not a known field",
+      SettingsErrors(Replaced(kEntry, "platform", "platfrom")).c_str());
+}
+
+TEST(SettingsFile, ChecksEveryField) {
+  const auto errors = [](const char* from, const char* to) {
+    return SettingsErrors(Replaced(kEntry, from, to));
+  };
+  STRCMP_CONTAINS("/role: must be one of \"entry\" \"agent\"",
+                  errors(R"("role": "entry")", R"("role": "x")").c_str());
+  STRCMP_CONTAINS("/role: is required",
+                  errors(R"("role": "entry",)", "").c_str());
+  STRCMP_CONTAINS("/vm: must be 1 to 63", errors("entry-1", "Entry 1").c_str());
+  STRCMP_CONTAINS("/callers: must be \"IP number:port\"",
+                  errors("127.0.0.1:4", "localhost:4").c_str());
+  STRCMP_CONTAINS("/peer_key: must have at least 16",
+                  errors("0123456789abcdef", "short").c_str());
+  STRCMP_CONTAINS("/zone: must be a string",
+                  errors(R"("zone": "z")", R"("zone": 5)").c_str());
+}
+
+TEST(SettingsFile, TellsTheLineOfASyntaxError) {
+  STRCMP_CONTAINS(
+      "line 4: is not valid JSON",
+      SettingsErrors(Replaced(kEntry, "\"vm\":", "\"vm\"")).c_str());
+}
+
+TEST(SettingsFile, AgentNeedsItsBackEnds) {
+  const std::string agent = Replaced(
+      Replaced(kEntry, "\"entry\"", "\"agent\""), R"("callers": "127.0.0.1:4")",
+      R"("upstream": {"name": "u", "service": "s", "back_ends": []})");
+  STRCMP_CONTAINS("/upstream/back_ends: must name at least one",
+                  SettingsErrors(agent).c_str());
+}
+
+TEST_GROUP(ConfigurationDocument){};
+
+TEST(ConfigurationDocument, FillsInDefaults) {
+  FieldErrors errors;
+  const auto c = ParseConfiguration(Configured(kModel), &errors);
+  CHECK(c.has_value());
+  LONGS_EQUAL(32768, c->models.at(ServiceName("m")).max_prompt.Value());
+  CHECK(c->PolicyFor(PolicyName("default")).first_token_target ==
+        std::chrono::milliseconds(700));
+}
+
+TEST(ConfigurationDocument, ChecksReferences) {
+  STRCMP_CONTAINS(
+      "Upstream/u: names an unknown service",
+      ConfigurationErrors(
+          R"({"kind":"Upstream","name":"u","spec":{"service":"x","vm":"v"}})")
+          .c_str());
+  STRCMP_CONTAINS("names an unknown policy",
+                  ConfigurationErrors(R"({"kind":"ModelService","name":"m",)"
+                                      R"("spec":{"policy":"fast"}})")
+                      .c_str());
+}
+
+TEST(ConfigurationDocument, ChecksFields) {
+  STRCMP_CONTAINS(
+      "/resources/0/spec/weight: must be a whole number from 1",
+      ConfigurationErrors(R"({"kind":"Tenant","name":"t","spec":{"weight":0,)"
+                          R"("key_sha256":")" +
+                          std::string(64, 'a') + R"("}})")
+          .c_str());
+  STRCMP_CONTAINS("must be 64 lower-case hex digits",
+                  ConfigurationErrors(R"({"kind":"Tenant","name":"t",)"
+                                      R"("spec":{"key_sha256":"XY"}})")
+                      .c_str());
+  STRCMP_CONTAINS(
+      "is not a known kind",
+      ConfigurationErrors(R"({"kind":"Gadget","name":"g","spec":{}})").c_str());
+  STRCMP_CONTAINS(
+      "stands twice",
+      ConfigurationErrors(std::string(kModel) + "," + kModel).c_str());
+}
+
+TEST(ConfigurationDocument, LongestRouteDecidesWhetherACallMayBeRepeated) {
+  PlainService service;
+  service.routes = {{"/", {"GET"}, true},
+                    {"/orders", {"GET"}, false},
+                    {"/orders/status", {}, true}};
+  CHECK(Configuration::IsRepeatable(service, "GET", "/x"));
+  CHECK(!Configuration::IsRepeatable(service, "GET", "/orders/5"));
+  CHECK(Configuration::IsRepeatable(service, "POST", "/orders/status/5"));
+  CHECK(!Configuration::IsRepeatable(service, "POST", "/x"));
+}
+
+TEST(ConfigurationDocument, SurvivesAnyText) {
+  const std::string good = Configured(kModel);
+  const bool held =
+      rc::check("damaged documents are refused or read, never worse", [&] {
+        std::string text = good;
+        const auto count = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < count; ++i) {
+          const auto at = *rc::gen::inRange<size_t>(0, text.size());
+          text[at] = *rc::gen::arbitrary<char>();
+        }
+        FieldErrors errors;
+        const bool read = ParseConfiguration(text, &errors).has_value();
+        RC_ASSERT(read == errors.empty());
+        errors.clear();
+        ParseResourceFile(text, &errors);
+        ParseSettings(text, &errors);
+      });
+  CHECK(held);
+}
