Fuzz the promises over the real controllers, and mend what that found

Callbacks of an earlier term now do nothing. - a service deleted while a call was in flight threw in the retry and deadline controllers. What they need is now kept with the request. - the leg of an abandoned call was held at the entry until its time was over. Ruled out: the emulated hang of a plain service, which had no timeout, was the fake's own fault.

--- a/burdockhill/src/agent/cancellation.cc
+++ b/burdockhill/src/agent/cancellation.cc
@@ -118,6 +118,7 @@
     case AttemptPhase::kCancelling:
       if (attempt->kind == AttemptKind::kCall) {
         attempt->abandoned = true;
+        m_peers->Send(attempt->entry, AttemptReleased{attempt->id});
         return;
       }
       attempt->phase = AttemptPhase::kCancelling;
--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -67,8 +67,8 @@
 // or the time for that is over.
 template <typename Core>
 int RunLoop(const Settings& settings, const std::string& part, EventLoop* loop,
-            PeerTransport* peers, Core* core,
-            HttpServer* streams, const std::function<size_t()>& connections) {
+            PeerTransport* peers, Core* core, HttpServer* streams,
+            const std::function<size_t()>& connections) {
   const SystemClock clock;
   bool leaving = false;
   TimePoint give_up_at{};
--- a/burdockhill/src/entry/admission.cc
+++ b/burdockhill/src/entry/admission.cc
@@ -78,6 +78,9 @@
   if (!allowed) return refuse(ErrorKind::kForbidden);
   if (request->asked.plain) {
     request->policy = plain->second.policy;
+    request->call_timeout = plain->second.timeout;
+    request->repeatable = Configuration::IsRepeatable(
+        plain->second, request->asked.method, request->asked.path);
     return true;
   }
   request->policy = model->second.policy;
--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -150,12 +150,15 @@
 void ConfigurationCoordinator::BecomeHolder() {
   if (m_is_holder) return;
   m_is_holder = true;
+  ++m_term;
   m_state_known = false;
   m_accepted_known = false;
   m_listed = false;
   m_revision = 0;
   m_written.clear();
   m_stage = Stage::kIdle;
+  m_watching = false;
+  m_reading_state = false;
 }
 
 void ConfigurationCoordinator::StopHolding() {
@@ -167,62 +170,73 @@
 
 void ConfigurationCoordinator::ReadState() {
   m_reading_state = true;
-  m_store->Get(ConfigurationStateKey(), [this](StoreStatus status,
-                                               const StoredObject& object) {
-    m_reading_state = false;
-    m_next_state_read = m_board->now + kStoreRetryDelay;
-    if (status == StoreStatus::kUnavailable) return;
-    m_state = {};
-    m_state_version = 0;
-    if (status == StoreStatus::kOk) {
-      m_state = ParseState(object.value).value_or(ConfigurationStateObject());
-      m_state_version = object.version;
-    }
-    m_state_known = true;
-    m_last_generation = std::max(
-        {m_last_generation, m_state.accepted.Value(), m_state.staged.Value()});
-    if (!m_state.accepted.IsValid()) {
-      m_accepted_known = true;
-      return;
-    }
-    m_store->Get(
-        ConfigurationContentKey(m_state.accepted),
-        [this](StoreStatus got, const StoredObject& content) {
-          if (got != StoreStatus::kOk) {
-            m_state_known = false;
-            return;
-          }
-          m_accepted.clear();
-          FieldErrors errors;
-          for (ResourceText& text : ParseResourceFile(content.value, &errors)) {
-            m_accepted[text.key] = std::move(text.spec);
-          }
-          m_accepted_known = true;
-        });
-  });
+  m_store->Get(ConfigurationStateKey(),
+               InTerm([this](StoreStatus status, const StoredObject& object) {
+                 OnStateRead(status, object);
+               }));
+}
+
+void ConfigurationCoordinator::OnStateRead(StoreStatus status,
+                                           const StoredObject& object) {
+  m_reading_state = false;
+  m_next_state_read = m_board->now + kStoreRetryDelay;
+  if (status == StoreStatus::kUnavailable) return;
+  m_state = {};
+  m_state_version = 0;
+  if (status == StoreStatus::kOk) {
+    m_state = ParseState(object.value).value_or(ConfigurationStateObject());
+    m_state_version = object.version;
+  }
+  m_state_known = true;
+  m_last_generation = std::max(
+      {m_last_generation, m_state.accepted.Value(), m_state.staged.Value()});
+  if (!m_state.accepted.IsValid()) {
+    m_accepted_known = true;
+    return;
+  }
+  m_store->Get(ConfigurationContentKey(m_state.accepted),
+               InTerm([this](StoreStatus got, const StoredObject& content) {
+                 OnAcceptedRead(got, content);
+               }));
+}
+
+void ConfigurationCoordinator::OnAcceptedRead(StoreStatus status,
+                                              const StoredObject& content) {
+  if (status != StoreStatus::kOk) {
+    m_state_known = false;
+    return;
+  }
+  m_accepted.clear();
+  FieldErrors errors;
+  for (ResourceText& text : ParseResourceFile(content.value, &errors)) {
+    m_accepted[text.key] = std::move(text.spec);
+  }
+  m_accepted_known = true;
 }
 
 void ConfigurationCoordinator::WatchResources() {
   m_watching = true;
   const std::vector<std::string> kinds(std::begin(kResourceKinds),
                                        std::end(kResourceKinds));
-  m_store->Watch(
-      kinds, m_revision,
-      [this](StoreStatus status, const std::vector<StoredObject>& changes,
-             uint64_t revision) {
-        m_watching = false;
-        if (status != StoreStatus::kOk) {
-          m_next_watch =
-              m_board->now + m_board->random->Jitter(kStoreRetryDelay);
-          return;
-        }
-        OnResources(changes, revision);
-      });
+  const uint64_t since = m_revision;
+  m_store->Watch(kinds, since,
+                 InTerm([this, since](StoreStatus status,
+                                      const std::vector<StoredObject>& changes,
+                                      uint64_t revision) {
+                   m_watching = false;
+                   if (status == StoreStatus::kOk) {
+                     return OnResources(changes, since, revision);
+                   }
+                   m_next_watch =
+                       m_board->now + m_board->random->Jitter(kStoreRetryDelay);
+                 }));
 }
 
 void ConfigurationCoordinator::OnResources(
-    const std::vector<StoredObject>& changes, uint64_t revision) {
-  if (m_revision == 0) {
+    const std::vector<StoredObject>& changes, uint64_t since,
+    uint64_t revision) {
+  const bool is_full_list = since == 0;
+  if (is_full_list) {
     // A full list: what is in force and not on it was deleted.
     m_written.clear();
     for (const auto& [key, spec] : m_accepted) {
@@ -232,10 +246,9 @@
   for (const StoredObject& object : changes) {
     m_written[object.key] = {object.version, object.value, object.deleted};
   }
-  const bool is_first_list = m_revision == 0;
   m_revision = std::max(m_revision, revision);
   m_listed = true;
-  if (changes.empty() && !is_first_list && m_stage == Stage::kIdle) {
+  if (changes.empty() && !is_full_list && m_stage == Stage::kIdle) {
     // Nothing of ours changed; other objects have moved the revision on.
     m_state.decided_revision = std::max(m_state.decided_revision, m_revision);
   }
@@ -318,22 +331,23 @@
 void ConfigurationCoordinator::Publish(const std::string& content) {
   m_stage = Stage::kPublishing;
   const Generation generation(++m_last_generation);
-  m_store->Put(ConfigurationContentKey(generation), content, 0,
-               [this, generation](StoreStatus status, uint64_t /*version*/) {
-                 if (m_stage != Stage::kPublishing) return;
-                 if (status != StoreStatus::kOk) {
-                   // Taken by another coordinator, or unknown: the next try
-                   // uses a new one.
-                   m_stage = Stage::kIdle;
-                   if (status == StoreStatus::kConflict) m_state_known = false;
-                   return;
-                 }
-                 ConfigurationStateObject state = m_state;
-                 state.staged = generation;
-                 state.coordinator = m_board->self.vm;
-                 m_stage_deadline = m_board->now + kStagingTime;
-                 WriteState(state, Stage::kCollecting);
-               });
+  m_store->Put(
+      ConfigurationContentKey(generation), content, 0,
+      InTerm([this, generation](StoreStatus status, uint64_t /*version*/) {
+        if (m_stage != Stage::kPublishing) return;
+        if (status != StoreStatus::kOk) {
+          // Taken by another coordinator, or unknown: the next try
+          // uses a new one.
+          m_stage = Stage::kIdle;
+          if (status == StoreStatus::kConflict) m_state_known = false;
+          return;
+        }
+        ConfigurationStateObject state = m_state;
+        state.staged = generation;
+        state.coordinator = m_board->self.vm;
+        m_stage_deadline = m_board->now + kStagingTime;
+        WriteState(state, Stage::kCollecting);
+      }));
 }
 
 void ConfigurationCoordinator::CheckCollected() {
@@ -385,27 +399,28 @@
                                           Stage next) {
   m_stage = Stage::kAccepting;
   const std::string text = FormatState(state);
-  m_store->Put(ConfigurationStateKey(), text, m_state_version,
-               [this, state, next](StoreStatus status, uint64_t version) {
-                 if (status != StoreStatus::kOk) {
-                   // Whether the write took effect is read from the store.
-                   m_stage = Stage::kIdle;
-                   m_state_known = false;
-                   m_accepted_known = false;
-                   return;
-                 }
-                 const Generation before = m_state.accepted;
-                 if (state.accepted != before) {
-                   m_accepted = m_proposed;
-                   if (before.IsValid()) {
-                     m_store->Delete(ConfigurationContentKey(before), 0,
-                                     [](StoreStatus, uint64_t) {});
-                   }
-                 }
-                 m_state = state;
-                 m_state_version = version;
-                 m_stage = next;
-               });
+  m_store->Put(
+      ConfigurationStateKey(), text, m_state_version,
+      InTerm([this, state, next](StoreStatus status, uint64_t version) {
+        if (status != StoreStatus::kOk) {
+          // Whether the write took effect is read from the store.
+          m_stage = Stage::kIdle;
+          m_state_known = false;
+          m_accepted_known = false;
+          return;
+        }
+        const Generation before = m_state.accepted;
+        if (state.accepted != before) {
+          m_accepted = m_proposed;
+          if (before.IsValid()) {
+            m_store->Delete(ConfigurationContentKey(before), 0,
+                            [](StoreStatus, uint64_t) {});
+          }
+        }
+        m_state = state;
+        m_state_version = version;
+        m_stage = next;
+      }));
 }
 
 // ---- Who is where ----
--- a/burdockhill/src/entry/configuration_coordinator.h
+++ b/burdockhill/src/entry/configuration_coordinator.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/src/entry/configuration_state.h"
@@ -42,6 +43,16 @@
     bool deleted = false;
   };
 
+  // Wraps a callback of the store so that it does nothing in a later term. What
+  // was asked in an earlier term says nothing about the state of this one.
+  template <typename Callback>
+  auto InTerm(Callback callback) {
+    return [this, term = m_term,
+            callback = std::move(callback)](const auto&... arguments) {
+      if (term == m_term) callback(arguments...);
+    };
+  }
+
   // The lease.
   bool IsCandidate() const;
   void CheckLease();
@@ -52,8 +63,11 @@
 
   // Operators' writes.
   void WatchResources();
-  void OnResources(const std::vector<StoredObject>& changes, uint64_t revision);
+  void OnResources(const std::vector<StoredObject>& changes, uint64_t since,
+                   uint64_t revision);
   void ReadState();
+  void OnStateRead(StoreStatus status, const StoredObject& object);
+  void OnAcceptedRead(StoreStatus status, const StoredObject& content);
 
   // One change.
   void ProposeChange();
@@ -74,6 +88,7 @@
   ObjectStore* m_store;
 
   bool m_is_holder = false;
+  uint64_t m_term = 0;  // Grows each time that the lease is taken.
   bool m_lease_busy = false;
   uint64_t m_lease_version = 0;
   LeaseObject m_lease;
--- a/burdockhill/src/entry/deadlines.cc
+++ b/burdockhill/src/entry/deadlines.cc
@@ -22,9 +22,7 @@
                          request->phase == RequestPhase::kArrived;
   if (has_ended) return;
   if (request->phase == RequestPhase::kCalling) {
-    const PlainService& service =
-        m_board->configuration->plain_services.at(request->asked.service);
-    if (m_board->now - request->arrived > service.timeout) {
+    if (m_board->now - request->arrived > request->call_timeout) {
       internal::EndWithError(m_board, request, ErrorKind::kTimeout, kPart);
     }
     return;
--- a/burdockhill/src/entry/entry_blackboard.h
+++ b/burdockhill/src/entry/entry_blackboard.h
@@ -49,6 +49,10 @@
   RequestClass request_class = RequestClass::kStandard;
   PolicyName policy;
   Tokens max_output;
+  // Of a plain call, as its service was configured when it was admitted: the
+  // service may be deleted while the call is in flight.
+  Duration call_timeout{0};
+  bool repeatable = false;
   TimePoint arrived{};
   TimePoint first_token_by{};  // Given up if nothing has come by then.
   TimePoint progress_at{};     // Last sign of life from upstream.
--- a/burdockhill/src/entry/entry_configuration.cc
+++ b/burdockhill/src/entry/entry_configuration.cc
@@ -37,6 +37,13 @@
   PutInForce(m_accepted);
 }
 
+void EntryConfiguration::OnLoadReport(const VmName& agent,
+                                      const LoadReport& report) {
+  const bool is_behind =
+      report.in_force < m_board->in_force || report.staged < m_board->staged;
+  if (is_behind) OfferTo(agent);
+}
+
 void EntryConfiguration::Step() {
   if (!m_watching && m_board->now >= m_next_watch) Watch();
   if (m_board->now < m_next_report) return;
--- a/burdockhill/src/entry/entry_configuration.h
+++ b/burdockhill/src/entry/entry_configuration.h
@@ -22,6 +22,8 @@
 
   void OnPeerUp(const Hello& peer);
   void OnOffer(const VmName& from, const ConfigurationOffer& offer);
+  // An agent that missed an offer, say while it was paused, is sent it again.
+  void OnLoadReport(const VmName& agent, const LoadReport& report);
   void Step();
 
  private:
--- a/burdockhill/src/entry/entry_core.cc
+++ b/burdockhill/src/entry/entry_core.cc
@@ -106,6 +106,7 @@
     m_retrying.OnReleased(from, *m);
   } else if (const auto* m = std::get_if<LoadReport>(&message)) {
     m_membership.OnLoadReport(from, *m);
+    m_configuration.OnLoadReport(from, *m);
   } else if (const auto* m = std::get_if<Heartbeat>(&message)) {
     if (!m->reply) m_peers->Send(from, Heartbeat{m->sequence, true});
   } else if (const auto* m = std::get_if<ConfigurationOffer>(&message)) {
--- a/burdockhill/src/entry/placement.cc
+++ b/burdockhill/src/entry/placement.cc
@@ -130,8 +130,6 @@
   request->progress_at = m_board->now;
   ++request->unproved_runs;
   ++view->decodes_since_report;
-  const PlainService& service =
-      m_board->configuration->plain_services.at(request->asked.service);
   CallService call;
   call.attempt = leg.id;
   call.service = request->asked.service;
@@ -140,7 +138,7 @@
   call.content_type = request->asked.content_type;
   call.idempotency_key = request->asked.idempotency_key;
   call.body = request->asked.body;
-  call.timeout = service.timeout;
+  call.timeout = request->call_timeout;
   m_peers->Send(view->vm, std::move(call));
   internal::Note(m_board, request->asked.id, kPart,
                  "sent to " + view->vm.Value() + ", 1 of " +
--- a/burdockhill/src/entry/retrying.cc
+++ b/burdockhill/src/entry/retrying.cc
@@ -123,11 +123,7 @@
 
 void Retrying::HandleCall(Request* request, const AttemptEnd& end) {
   if (end.ran) internal::ReleaseLeg(m_board, end.id);
-  const PlainService& service =
-      m_board->configuration->plain_services.at(request->asked.service);
-  const bool repeatable = Configuration::IsRepeatable(
-      service, request->asked.method, request->asked.path);
-  if (end.ran && !repeatable) {
+  if (end.ran && !request->repeatable) {
     return internal::EndWithError(m_board, request, end.kind, kPart,
                                   "the call may not be repeated");
   }
--- a/emulation/upstream_fake.cc
+++ b/emulation/upstream_fake.cc
@@ -226,6 +226,11 @@
 }
 
 void UpstreamFake::Call(const EngineName& /*engine*/, const CallService& call) {
+  if (m_faults.hangs) {
+    m_queue->After(call.timeout,
+                   [this, call] { TellFailed(call.attempt, true); });
+    return;
+  }
   Deliver(
       [this, call] {
         if (call.method != "GET") ++m_executions->by_body[call.body];
--- a/load/burdockhill_load.cc
+++ b/load/burdockhill_load.cc
@@ -48,8 +48,8 @@
 double Percentile(std::vector<double> values, double share) {
   if (values.empty()) return 0.0;
   std::sort(values.begin(), values.end());
-  const auto at = static_cast<size_t>(
-      share * static_cast<double>(values.size() - 1));
+  const auto at =
+      static_cast<size_t>(share * static_cast<double>(values.size() - 1));
   return values[at];
 }
 
@@ -79,8 +79,9 @@
             -std::log(1.0 - m_random.Unit()) / absl::GetFlag(FLAGS_rate);
         next += Seconds(gap);
       }
-      const Duration wait = next < end ? next - m_clock.Now()
-                                       : Duration(std::chrono::milliseconds(50));
+      const Duration wait = next < end
+                                ? next - m_clock.Now()
+                                : Duration(std::chrono::milliseconds(50));
       m_loop.WakeAfter(std::max(wait, Duration(1)));
       m_loop.RunOnce();
     }
@@ -128,10 +129,10 @@
     std::string prompt =
         "[[length=" + std::to_string(absl::GetFlag(FLAGS_answer_tokens)) +
         "]] request " + std::to_string(number) + " ";
-    prompt.resize(
-        std::max<size_t>(prompt.size(),
-                         static_cast<size_t>(absl::GetFlag(FLAGS_prompt_bytes))),
-        'x');
+    prompt.resize(std::max<size_t>(
+                      prompt.size(),
+                      static_cast<size_t>(absl::GetFlag(FLAGS_prompt_bytes))),
+                  'x');
     return prompt;
   }
 
@@ -185,8 +186,8 @@
                            prefill.host + ":" + std::to_string(prefill.port)},
                           {"max_tokens", absl::GetFlag(FLAGS_answer_tokens)}}
                          .dump();
-                 m_client.Start(std::move(next), Stream(sent, "\"text\":\"",
-                                                        "finish_reason"));
+                 m_client.Start(std::move(next),
+                                Stream(sent, "\"text\":\"", "finish_reason"));
                });
   }
 
--- /dev/null
+++ b/tests/failures_test.cc
@@ -0,0 +1,80 @@
+// Failures that the fuzzer found, each as a small story.
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/promise_commands.h"
+#include "tests/promise_oracle.h"
+
+using burdockhill::Command;
+using burdockhill::CommandKind;
+using burdockhill::CommandRunner;
+using burdockhill::PromiseOracle;
+using burdockhill::emulation::World;
+using burdockhill::emulation::WorldOptions;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(Failures) {
+  World world{WorldOptions()};
+  PromiseOracle oracle{&world};
+
+  void setup() override { CHECK(world.RunUntilReady()); }
+
+  void CheckRest() {
+    CommandRunner(&world).Heal();
+    world.Run(seconds(75));
+    oracle.CheckAtRest();
+    for (const std::string& violation : oracle.Violations()) {
+      FAIL(violation.c_str());
+    }
+  }
+};
+
+TEST(Failures, AgentThatWasPausedDuringAChangeCatchesUp) {
+  world.Upstreams()[0]->Pause();
+  world.Run(seconds(3));
+  world.WriteResource("RoutingPolicy", "default",
+                      R"({"first_token_limit_ms":4000})");
+  world.Run(seconds(4));
+  CheckRest();
+}
+
+TEST(Failures, LostStoreAnswersNeverEmptyTheConfiguration) {
+  world.Platform().Faults().lose_answer = 500;
+  for (int i = 0; i < 200; ++i) {
+    world.Run(milliseconds(500));
+    for (const auto& entry : world.Entries()) {
+      CHECK(!entry->Core()->Board().configuration->plain_services.empty());
+    }
+  }
+  CheckRest();
+}
+
+TEST(Failures, ServiceIsDeletedWhileACallIsInFlight) {
+  const auto id = world.SendCall(0, "POST", "order");
+  world.Run(milliseconds(10));
+  uint64_t version = 0;
+  auto& model = world.Platform().Model();
+  for (const auto& upstream : world.Upstreams()) {
+    const std::string& name = upstream->Self().vm.Value();
+    if (name.starts_with("app-")) model.Delete({"Upstream", name}, 0, &version);
+  }
+  model.Delete({"PlainService", World::kPlain}, 0, &version);
+  world.Run(seconds(20));
+  CHECK(world.Entries()[0]
+            ->Core()
+            ->Board()
+            .configuration->plain_services.empty());
+  STRCMP_EQUAL("done order", world.Callers().Views().at(*id).answer->c_str());
+}
+
+TEST(Failures, CallToAHungServiceEndsAndHoldsNothing) {
+  for (const auto& upstream : world.Upstreams())
+    upstream->Faults().hangs = true;
+  const auto id = world.SendCall(0, "POST", "order");
+  world.Run(seconds(31));
+  const auto& view = world.Callers().Views().at(*id);
+  LONGS_EQUAL(1, view.finals);
+  CHECK(view.error->outcome == burdockhill::Outcome::kUnknown);
+  CheckRest();
+}
--- /dev/null
+++ b/tests/promise_commands.cc
@@ -0,0 +1,150 @@
+#include "tests/promise_commands.h"
+
+namespace burdockhill {
+
+using emulation::EntryFake;
+using emulation::UpstreamFake;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::ostream& operator<<(std::ostream& out, const Command& command) {
+  return out << "{" << static_cast<int>(command.kind) << "," << command.a << ","
+             << command.b << "}";
+}
+
+EntryFake& CommandRunner::Entry(uint32_t number) {
+  return *m_world->Entries()[number % m_world->Entries().size()];
+}
+
+UpstreamFake& CommandRunner::Upstream(uint32_t number) {
+  return *m_world->Upstreams()[number % m_world->Upstreams().size()];
+}
+
+void CommandRunner::SendPrompt(const Command& command, int64_t bytes) {
+  const std::string prompt =
+      "[[seed=" + std::to_string(++m_next_number) +
+      "]][[length=" + std::to_string(1 + command.b % 150) + "]]";
+  const auto id =
+      m_world->SendPrompt(command.a % m_world->Entries().size(),
+                          prompt + std::string(static_cast<size_t>(bytes), 'x'),
+                          1 + command.a % 200);
+  if (id.has_value()) m_sent.push_back(*id);
+}
+
+void CommandRunner::SendCall(const Command& command,
+                             const std::string& method) {
+  const auto id =
+      m_world->SendCall(command.a % m_world->Entries().size(), method,
+                        "order-" + std::to_string(++m_next_number));
+  if (id.has_value()) m_sent.push_back(*id);
+}
+
+void CommandRunner::Run(const Command& command) {
+  ++m_counts[command.kind];
+  EntryFake& entry = Entry(command.a);
+  UpstreamFake& upstream = Upstream(command.b);
+  auto& network = m_world->Network();
+  auto& store = m_world->Platform().Faults();
+  switch (command.kind) {
+    case CommandKind::kSendPrompt:
+      return SendPrompt(command, 40 + command.b % 400);
+    case CommandKind::kSendLongPrompt:
+      return SendPrompt(command, 4000 + command.b % 40000);
+    case CommandKind::kSendCall:
+      return SendCall(command, "POST");
+    case CommandKind::kSendRead:
+      return SendCall(command, "GET");
+    case CommandKind::kCloseCaller:
+      if (!m_sent.empty()) m_world->Close(m_sent[command.a % m_sent.size()]);
+      return;
+    case CommandKind::kWait:
+      return m_world->Run(milliseconds(1 + command.a % 200));
+    case CommandKind::kWaitLong:
+      return m_world->Run(seconds(1 + command.a % 8));
+    case CommandKind::kCrashEntry:
+      if (entry.IsUp()) {
+        m_world->CrashEntry(command.a % m_world->Entries().size());
+      } else {
+        entry.Start();
+      }
+      return;
+    case CommandKind::kPauseEntry:
+      return entry.IsPaused() ? entry.Resume() : entry.Pause();
+    case CommandKind::kCrashAgent:
+      return upstream.IsUp() ? upstream.Crash() : upstream.Start();
+    case CommandKind::kPauseAgent:
+      return upstream.IsPaused() ? upstream.Resume() : upstream.Pause();
+    case CommandKind::kCrashEngine:
+      if (upstream.EngineCount() > 0) upstream.CrashEngine(0);
+      return;
+    case CommandKind::kHangBackEnd:
+      upstream.Faults().hangs = !upstream.Faults().hangs;
+      return;
+    case CommandKind::kCutOffBackEnd:
+      upstream.Faults().unreachable = !upstream.Faults().unreachable;
+      return;
+    case CommandKind::kLoseCancels:
+      upstream.Faults().loses_cancels = !upstream.Faults().loses_cancels;
+      return;
+    case CommandKind::kBreakConnection:
+      return network.Break(entry.Self().vm, upstream.Self().vm);
+    case CommandKind::kSilenceConnection:
+      return network.Silence(entry.Self().vm, upstream.Self().vm);
+    case CommandKind::kCutLink:
+      return command.a % 2 == 0
+                 ? network.Cut(entry.Self().vm, upstream.Self().vm)
+                 : network.Heal(entry.Self().vm, upstream.Self().vm);
+    case CommandKind::kStoreOutage:
+      store.outage = !store.outage;
+      return;
+    case CommandKind::kStoreSlow:
+      store.slowness =
+          store.slowness == Duration(0) ? Duration(seconds(2)) : Duration(0);
+      return;
+    case CommandKind::kStoreLosesAnswers:
+      store.lose_answer = store.lose_answer == 0 ? 300 : 0;
+      return;
+    case CommandKind::kDuplicateMessages:
+      m_network_faults.duplicate = m_network_faults.duplicate == 0 ? 50 : 0;
+      return network.SetFaults(m_network_faults);
+    case CommandKind::kReorderMessages:
+      m_network_faults.reorder = m_network_faults.reorder == 0 ? 50 : 0;
+      return network.SetFaults(m_network_faults);
+    case CommandKind::kDrainAgent:
+      if (upstream.IsUp()) upstream.Core()->Leave();
+      return;
+    case CommandKind::kWriteConfiguration:
+      return m_world->WriteResource("RoutingPolicy", "default",
+                                    R"({"first_token_limit_ms":)" +
+                                        std::to_string(4000 + command.a % 99) +
+                                        "}");
+    case CommandKind::kWriteBadConfiguration:
+      return m_world->WriteResource("RoutingPolicy", "default",
+                                    R"({"first_token_limit_ms":"soon"})");
+    case CommandKind::kCount:
+      return;
+  }
+}
+
+void CommandRunner::Heal() {
+  m_network_faults = {};
+  m_world->Network().SetFaults({});
+  m_world->Platform().Faults() = {};
+  for (const auto& entry : m_world->Entries()) {
+    if (!entry->IsUp()) entry->Start();
+    if (entry->IsPaused()) entry->Resume();
+    for (const auto& upstream : m_world->Upstreams()) {
+      m_world->Network().Heal(entry->Self().vm, upstream->Self().vm);
+    }
+  }
+  for (const auto& upstream : m_world->Upstreams()) {
+    upstream->Faults() = {};
+    if (upstream->IsPaused()) upstream->Resume();
+    // One that was told to leave is replaced by a new process.
+    const bool leaving = upstream->IsUp() && upstream->Core()->Board().leaving;
+    if (leaving) upstream->Crash();
+    if (!upstream->IsUp()) upstream->Start();
+  }
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/tests/promise_commands.h
@@ -0,0 +1,82 @@
+#ifndef BURDOCKHILL_TESTS_PROMISE_COMMANDS_H_
+#define BURDOCKHILL_TESTS_PROMISE_COMMANDS_H_
+
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "emulation/world.h"
+
+namespace burdockhill {
+
+enum class CommandKind {
+  kSendPrompt,
+  kSendLongPrompt,
+  kSendCall,
+  kSendRead,
+  kCloseCaller,
+  kWait,
+  kWaitLong,
+  kCrashEntry,
+  kPauseEntry,
+  kCrashAgent,
+  kPauseAgent,
+  kCrashEngine,
+  kHangBackEnd,
+  kCutOffBackEnd,
+  kLoseCancels,
+  kBreakConnection,
+  kSilenceConnection,
+  kCutLink,
+  kStoreOutage,
+  kStoreSlow,
+  kStoreLosesAnswers,
+  kDuplicateMessages,
+  kReorderMessages,
+  kDrainAgent,
+  kWriteConfiguration,
+  kWriteBadConfiguration,
+  kCount,
+};
+
+// One step of a fuzzed run. `a` and `b` choose what it concerns; what a command
+// of a kind does to a thing a second time undoes it.
+struct Command {
+  CommandKind kind = CommandKind::kWait;
+  uint32_t a = 0;
+  uint32_t b = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const Command& command);
+
+// Carries out commands on a world, and afterwards ends every fault.
+class CommandRunner {
+ public:
+  explicit CommandRunner(emulation::World* world) : m_world(world) {}
+
+  void Run(const Command& command);
+
+  // Ends all faults: wakes, restarts and heals everything.
+  void Heal();
+
+  // How often each kind was carried out.
+  const std::map<CommandKind, int64_t>& Counts() const { return m_counts; }
+
+ private:
+  void SendPrompt(const Command& command, int64_t bytes);
+  void SendCall(const Command& command, const std::string& method);
+  emulation::EntryFake& Entry(uint32_t number);
+  emulation::UpstreamFake& Upstream(uint32_t number);
+
+  emulation::World* m_world;
+  std::map<CommandKind, int64_t> m_counts;
+  std::vector<RequestId> m_sent;
+  uint64_t m_next_number = 0;
+  emulation::NetworkFaults m_network_faults;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_TESTS_PROMISE_COMMANDS_H_
--- /dev/null
+++ b/tests/promise_oracle.cc
@@ -0,0 +1,124 @@
+#include "tests/promise_oracle.h"
+
+#include <algorithm>
+
+namespace burdockhill {
+
+using emulation::CallerView;
+using standins::EngineModel;
+
+namespace {
+
+// The number behind "[[name=" in a prompt of the test.
+uint64_t Tag(const std::string& prompt, const std::string& name) {
+  const size_t at = prompt.find("[[" + name + "=");
+  return std::stoull(prompt.substr(at + name.size() + 3));
+}
+
+}  // namespace
+
+std::string PromiseOracle::ExpectedText(const std::string& prompt,
+                                        uint64_t tokens) {
+  const uint64_t seed = Tag(prompt, "seed");
+  std::string text;
+  for (uint64_t i = 0; i < tokens; ++i) {
+    text += EngineModel::AnswerToken(seed, i);
+  }
+  return text;
+}
+
+void PromiseOracle::Violated(const std::string& what) {
+  if (m_violations.size() < 20) m_violations.push_back(what);
+}
+
+void PromiseOracle::Watch() {
+  for (const auto& [id, view] : m_world->Callers().Views()) {
+    CheckCaller(view, false);
+  }
+  for (const auto& [body, count] : m_world->Executions().by_body) {
+    if (count > 1) Violated("call ran twice: " + body);
+  }
+  CheckGenerations();
+}
+
+void PromiseOracle::CheckCaller(const CallerView& view, bool at_rest) {
+  const std::string name = FormatRequestId(view.asked.id);
+  if (view.finals > 1) Violated(name + " answered twice");
+  if (at_rest && view.IsOpen()) Violated(name + " never answered");
+  if (view.asked.plain) {
+    const auto& runs = m_world->Executions().by_body;
+    const auto found = runs.find(view.asked.body);
+    const int64_t count = found == runs.end() ? 0 : found->second;
+    const bool told_not_run =
+        view.error.has_value() && view.error->outcome == Outcome::kNotRun;
+    if (told_not_run && count > 0) Violated(name + " not run, but ran");
+    if (view.answer.has_value() && *view.answer != "done " + view.asked.body) {
+      Violated(name + " got the answer of another");
+    }
+    return;
+  }
+  const auto limit =
+      std::min(Tag(view.asked.prompt, "length"),
+               static_cast<uint64_t>(view.asked.max_output->Value()));
+  const std::string whole = ExpectedText(view.asked.prompt, limit);
+  if (!whole.starts_with(view.text)) Violated(name + " got wrong tokens");
+  if (!view.finish_reason.empty() && view.text != whole) {
+    Violated(name + " finished before its end");
+  }
+}
+
+void PromiseOracle::CheckGenerations() {
+  const auto check = [&](const emulation::Node& node, Generation now) {
+    auto& [life, highest] = m_in_force[node.Self().vm];
+    if (life != node.Life()) {
+      life = node.Life();
+      highest = Generation();
+    }
+    if (now < highest) {
+      Violated(node.Self().vm.Value() + " went back to an older generation");
+    }
+    highest = std::max(highest, now);
+  };
+  for (const auto& entry : m_world->Entries()) {
+    if (entry->IsUp()) check(*entry, entry->Core()->Board().in_force);
+  }
+  for (const auto& upstream : m_world->Upstreams()) {
+    if (upstream->IsUp()) check(*upstream, upstream->Core()->Board().in_force);
+  }
+}
+
+void PromiseOracle::CheckAtRest() {
+  Watch();
+  for (const auto& [id, view] : m_world->Callers().Views()) {
+    CheckCaller(view, true);
+  }
+  for (const std::string& held : m_world->HeldInEngines()) {
+    Violated("engine memory held at rest: " + held);
+  }
+  StoredObject object;
+  m_world->Platform().Model().Get(ConfigurationStateKey(), &object);
+  const auto state = ParseState(object.value);
+  const Generation accepted =
+      state.has_value() ? state->accepted : Generation();
+  for (const auto& entry : m_world->Entries()) {
+    const EntryBlackboard& board = entry->Core()->Board();
+    const std::string vm = entry->Self().vm.Value();
+    if (board.requests.Size() > 0) Violated(vm + " has requests at rest");
+    if (board.legs.Size() > 0) Violated(vm + " has attempts at rest");
+    if (board.in_force != accepted) Violated(vm + " is behind at rest");
+  }
+  for (const auto& upstream : m_world->Upstreams()) {
+    const AgentBlackboard& board = upstream->Core()->Board();
+    const std::string vm = upstream->Self().vm.Value();
+    if (board.attempts.Size() > 0) Violated(vm + " has attempts at rest");
+    if (board.in_force != accepted) Violated(vm + " is behind at rest");
+    for (const auto& [name, engine] : board.engines) {
+      if (engine.used_slots > 0 || engine.used_pieces.Value() > 0 ||
+          engine.queued_prefill.Value() > 0) {
+        Violated(vm + " counts memory as used at rest");
+      }
+    }
+  }
+}
+
+}  // namespace burdockhill
--- /dev/null
+++ b/tests/promises_fuzz_test.cc
@@ -0,0 +1,94 @@
+// What must always hold, under any sequence of faults, over the real
+// controllers. Seed and number of sequences come from the environment, as in
+//   RC_PARAMS="seed=1 max_success=100 max_size=60"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <iostream>
+
+#include "tests/promise_commands.h"
+#include "tests/promise_oracle.h"
+
+using burdockhill::Command;
+using burdockhill::CommandKind;
+using burdockhill::CommandRunner;
+using burdockhill::PromiseOracle;
+using burdockhill::emulation::World;
+using burdockhill::emulation::WorldOptions;
+using std::chrono::seconds;
+
+namespace {
+
+// Longest time after the last fault until everything is at rest again.
+constexpr seconds kRestTime{75};
+
+// The whole range at every size, unlike rc::gen::inRange.
+template <typename T>
+rc::Gen<T> Below(T low, T high) {
+  return rc::gen::resize(rc::kNominalSize, rc::gen::inRange<T>(low, high));
+}
+
+// Sends are as likely as all faults together.
+rc::Gen<Command> AnyCommand() {
+  constexpr auto kFirstFault = static_cast<int>(CommandKind::kCrashEntry);
+  constexpr auto kEnd = static_cast<int>(CommandKind::kCount);
+  const auto kind = rc::gen::weightedOneOf<int>(
+      {{1, Below(0, kFirstFault)}, {1, Below(kFirstFault, kEnd)}});
+  return rc::gen::build<Command>(
+      rc::gen::set(&Command::kind,
+                   rc::gen::map(kind,
+                                [](int number) {
+                                  return static_cast<CommandKind>(number);
+                                })),
+      rc::gen::set(&Command::a, Below<uint32_t>(0, 1000)),
+      rc::gen::set(&Command::b, Below<uint32_t>(0, 1000)));
+}
+
+WorldOptions SmallWorld(uint64_t seed) {
+  WorldOptions options;
+  options.seed = seed;
+  options.zones = 2;
+  options.decode_runners = 1;
+  options.engine.slots = 4;
+  return options;
+}
+
+// Runs the commands; returns the first broken promise, or an empty string.
+std::string FirstViolation(uint64_t seed, const std::vector<Command>& commands,
+                           std::map<CommandKind, int64_t>* counts) {
+  World world(SmallWorld(seed));
+  if (!world.RunUntilReady()) return "the world never became ready";
+  PromiseOracle oracle(&world);
+  CommandRunner runner(&world);
+  for (const Command& command : commands) {
+    runner.Run(command);
+    world.Run(std::chrono::milliseconds(5));
+    oracle.Watch();
+    if (!oracle.Violations().empty()) return oracle.Violations().front();
+  }
+  runner.Heal();
+  world.Run(kRestTime);
+  oracle.CheckAtRest();
+  for (const auto& [kind, count] : runner.Counts()) (*counts)[kind] += count;
+  return oracle.Violations().empty() ? "" : oracle.Violations().front();
+}
+
+}  // namespace
+
+TEST_GROUP(Promises){};
+
+TEST(Promises, HoldUnderAnySequenceOfFaults) {
+  std::map<CommandKind, int64_t> counts;
+  const bool held = rc::check("what must always hold, holds", [&] {
+    const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+    const auto commands =
+        *rc::gen::container<std::vector<Command>>(AnyCommand());
+    const std::string violation = FirstViolation(seed, commands, &counts);
+    if (!violation.empty()) RC_FAIL(violation);
+  });
+  for (const auto& [kind, count] : counts) {
+    std::cout << "command " << static_cast<int>(kind) << ": " << count << "\n";
+  }
+  CHECK(held);
+}
