--- a/burdockhill/src/entry/entry_blackboard.h
+++ b/burdockhill/src/entry/entry_blackboard.h
@@ -15,6 +15,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/base/units.h"
 #include "burdockhill/src/entry/caller_port.h"
+#include "burdockhill/src/entry/configuration_content.h"
 #include "burdockhill/src/entry/decision_log.h"
 #include "burdockhill/src/entry/rate_limit.h"
 #include "burdockhill/src/metrics/metrics_registry.h"
@@ -163,8 +164,8 @@
   std::shared_ptr<const Configuration> configuration;  // In force; may be null.
   Generation staged;
   Generation in_force;
-  std::string in_force_content;
-  std::string staged_content;
+  std::shared_ptr<const ConfigurationContent> in_force_content;
+  std::shared_ptr<const ConfigurationContent> staged_content;
   std::optional<VmName> coordinator;  // Holder of the configuration lease.
 
   std::vector<ListedVm> listed_vms;
--- a/burdockhill/src/entry/entry_configuration.cc
+++ b/burdockhill/src/entry/entry_configuration.cc
@@ -18,21 +18,31 @@
 void EntryConfiguration::OnPeerUp(const Hello& peer) {
   if (peer.role == Role::kAgent) OfferTo(peer.vm);
   if (peer.role == Role::kEntry) {
-    m_peers->Send(peer.vm, ConfigurationOffer{m_board->in_force, true,
-                                              m_board->in_force_content});
+    m_peers->Send(peer.vm, WholeOffer());
   }
 }
 
+ConfigurationOffer EntryConfiguration::WholeOffer() const {
+  ConfigurationOffer offer{m_board->in_force, true, {}};
+  if (m_board->in_force_content != nullptr) {
+    offer.content = m_board->in_force_content->Text();
+  }
+  return offer;
+}
+
 void EntryConfiguration::OnOffer(const VmName& from,
                                  const ConfigurationOffer& offer) {
   if (offer.generation < m_board->in_force) {
     // The peer is behind; it is told what is in force.
-    m_peers->Send(from, ConfigurationOffer{m_board->in_force, true,
-                                           m_board->in_force_content});
+    m_peers->Send(from, WholeOffer());
     return;
   }
   if (!offer.accepted || offer.generation <= m_board->in_force) return;
-  if (!offer.content.empty()) m_contents[offer.generation] = offer.content;
+  if (!offer.content.empty() && !m_contents.contains(offer.generation)) {
+    const auto content = ConfigurationContent::Parse(offer.content);
+    if (content == nullptr) return;
+    m_contents[offer.generation] = content;
+  }
   m_accepted = std::max(m_accepted, offer.generation);
   PutInForce(m_accepted);
 }
@@ -102,9 +112,9 @@
 }
 
 void EntryConfiguration::Stage(Generation generation,
-                               const std::string& content) {
-  FieldErrors errors;
-  if (!ParseConfiguration(content, &errors).has_value()) return;
+                               const std::string& text) {
+  const auto content = ConfigurationContent::Parse(text);
+  if (content == nullptr) return;
   m_contents[generation] = content;
   while (m_contents.size() > kMaxContents) m_contents.erase(m_contents.begin());
   if (generation > m_board->staged) {
@@ -120,15 +130,10 @@
   if (generation <= m_board->in_force) return;
   const auto found = m_contents.find(generation);
   if (found == m_contents.end()) return;
-  FieldErrors errors;
-  std::optional<Configuration> parsed =
-      ParseConfiguration(found->second, &errors);
-  if (!parsed.has_value()) return;
-  m_board->configuration =
-      std::make_shared<const Configuration>(*std::move(parsed));
+  m_board->in_force_content = found->second;
+  m_board->configuration = found->second->Parsed();
   m_board->in_force = generation;
   m_board->staged = std::max(m_board->staged, generation);
-  m_board->in_force_content = found->second;
   m_contents.erase(m_contents.begin(), m_contents.upper_bound(generation));
   OfferToAgents();
   Report();
@@ -144,36 +149,13 @@
   if (m_board->in_force.IsValid()) {
     m_peers->Send(
         agent, ConfigurationOffer{m_board->in_force, true,
-                                  PartFor(m_board->in_force_content, agent)});
+                                  m_board->in_force_content->PartFor(agent)});
   }
   if (m_board->staged > m_board->in_force) {
     m_peers->Send(agent,
                   ConfigurationOffer{m_board->staged, false,
-                                     PartFor(m_board->staged_content, agent)});
-  }
-}
-
-std::string EntryConfiguration::PartFor(const std::string& content,
-                                        const VmName& vm) const {
-  FieldErrors errors;
-  const std::vector<ResourceText> all = ParseResourceFile(content, &errors);
-  const std::optional<Configuration> parsed =
-      ParseConfiguration(content, &errors);
-  if (!parsed.has_value()) return {};
-  const Upstream* upstream = parsed->UpstreamOnVm(vm);
-  std::vector<ResourceText> part;
-  for (const ResourceText& resource : all) {
-    const bool is_upstream = resource.key.kind == "Upstream" &&
-                             upstream != nullptr &&
-                             resource.key.name == upstream->name.Value();
-    const bool is_service = (resource.key.kind == "ModelService" ||
-                             resource.key.kind == "PlainService") &&
-                            upstream != nullptr &&
-                            resource.key.name == upstream->service.Value();
-    const bool is_policy = resource.key.kind == "RoutingPolicy";
-    if (is_upstream || is_service || is_policy) part.push_back(resource);
+                                     m_board->staged_content->PartFor(agent)});
   }
-  return ComposeConfiguration(part);
 }
 
 // The coordinator also counts agents, which it may not be connected to.
--- a/burdockhill/src/entry/entry_configuration.h
+++ b/burdockhill/src/entry/entry_configuration.h
@@ -2,8 +2,10 @@
 #define BURDOCKHILL_SRC_ENTRY_ENTRY_CONFIGURATION_H_
 
 #include <map>
+#include <memory>
 #include <string>
 
+#include "burdockhill/src/entry/configuration_content.h"
 #include "burdockhill/src/entry/configuration_state.h"
 #include "burdockhill/src/entry/entry_blackboard.h"
 #include "burdockhill/src/peer/peer_link.h"
@@ -30,12 +32,12 @@
   void Watch();
   void OnState(const ConfigurationStateObject& state);
   void Fetch(Generation generation);
-  void Stage(Generation generation, const std::string& content);
+  void Stage(Generation generation, const std::string& text);
   void PutInForce(Generation generation);
+  // What is in force here, for another entry.
+  ConfigurationOffer WholeOffer() const;
   void OfferToAgents();
   void OfferTo(const VmName& agent);
-  // The resources that the agent on `vm` needs, as text.
-  std::string PartFor(const std::string& content, const VmName& vm) const;
   void Report();
 
   EntryBlackboard* m_board;
@@ -47,7 +49,7 @@
   TimePoint m_next_report{};
   Duration m_watch_delay{0};
   Generation m_accepted;  // By the store or by a peer.
-  std::map<Generation, std::string> m_contents;
+  std::map<Generation, std::shared_ptr<const ConfigurationContent>> m_contents;
   std::map<Generation, bool> m_fetching;
 };
 
