Send load reports without names and less often to many entries

Cause: a report of 8 engines took 716 bytes a second and entry; at the two-year size an entry may spend 13 KB/s on control in all.

--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -320,11 +320,10 @@
 
 void ReportSize() {
   LoadReport report;
-  report.upstream = UpstreamName("runner-100");
-  report.service = ServiceName("digest-llm");
+  report.in_force = Generation(1000);
+  report.staged = Generation(1000);
   for (int e = 0; e < 8; ++e) {
     EngineLoad load;
-    load.name = EngineName("engine-" + std::to_string(e));
     load.slots = 20;
     load.running = 19;
     load.free_pieces = Pieces(100);
--- a/burdockhill/src/agent/load_reporting.cc
+++ b/burdockhill/src/agent/load_reporting.cc
@@ -1,36 +1,49 @@
 #include "burdockhill/src/agent/load_reporting.h"
 
+#include <algorithm>
+
 namespace burdockhill {
 
 namespace {
 constexpr Duration kReportInterval = std::chrono::seconds(1);
+constexpr Duration kLongestReportInterval = std::chrono::seconds(2);
+// Entries that can be told every second at about 10 KB/s.
+constexpr int64_t kEntriesASecond = 40;
+
+Duration IntervalFor(size_t entries) {
+  return std::clamp(
+      kReportInterval * static_cast<int64_t>(entries) / kEntriesASecond,
+      kReportInterval, kLongestReportInterval);
+}
 }  // namespace
 
 void LoadReporting::OnPeerUp(const VmName& entry) {
-  m_peers->Send(entry, Compose());
+  m_peers->Send(entry, Compose(true));
 }
 
 void LoadReporting::Step() {
   if (!m_board->report_due && m_board->now < m_next_report) return;
   m_board->report_due = false;
-  m_next_report = m_board->now + kReportInterval;
-  const LoadReport report = Compose();
+  m_next_report = m_board->now + IntervalFor(m_board->entries.size());
+  const LoadReport report = Compose(false);
   for (const auto& [entry, incarnation] : m_board->entries) {
     m_peers->Send(entry, report);
   }
 }
 
-LoadReport LoadReporting::Compose() const {
+LoadReport LoadReporting::Compose(bool with_names) const {
   LoadReport report;
-  report.upstream = m_board->self.upstream;
-  report.service = m_board->self.service;
+  if (with_names) {
+    report.upstream = m_board->self.upstream;
+    report.service = m_board->self.service;
+  }
   report.plain = m_board->self.plain;
   report.leaving = m_board->leaving;
   report.in_force = m_board->in_force;
   report.staged = m_board->staged;
   for (const auto& [name, engine] : m_board->engines) {
     EngineLoad load;
-    load.name = name;
+    if (with_names) load.name = name;
     load.healthy = engine.reachable;
     load.running = engine.used_slots;
     load.queued_prefill = engine.queued_prefill;
--- a/burdockhill/src/agent/load_reporting.h
+++ b/burdockhill/src/agent/load_reporting.h
@@ -8,7 +8,8 @@
 
 // Tells every connected entry how full this upstream is: when the connection
 // comes up, when the upstream starts to leave or loses an engine, and every
-// second.
+// second. With many entries the reports come less often, so that the bytes a
+// second stay bounded.
 class LoadReporting {
  public:
   LoadReporting(AgentBlackboard* board, PeerLink* peers)
@@ -17,7 +18,8 @@
   void OnPeerUp(const VmName& entry);
   void Step();
 
-  LoadReport Compose() const;
+  // With names, as entries need them once, or without.
+  LoadReport Compose(bool with_names) const;
 
  private:
   AgentBlackboard* m_board;
--- a/burdockhill/src/entry/membership.cc
+++ b/burdockhill/src/entry/membership.cc
@@ -66,7 +66,21 @@
   const auto found = m_board->upstreams.find(vm);
   if (found == m_board->upstreams.end()) return;
   UpstreamView& view = found->second;
+  const std::optional<LoadReport> before = std::move(view.report);
   view.report = report;
+  // Names come once a connection.
+  if (!report.service.IsValid()) {
+    if (!before.has_value()) {
+      view.report.reset();
+      return;
+    }
+    view.report->upstream = before->upstream;
+    view.report->service = before->service;
+    const size_t named = std::min(report.engines.size(), before->engines.size());
+    for (size_t i = 0; i < named; ++i) {
+      view.report->engines[i].name = before->engines[i].name;
+    }
+  }
   view.decodes_since_report = 0;
   view.prefill_since_report = Tokens(0);
   m_board->generations[vm] = {report.staged, report.in_force, m_board->now};
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -153,7 +153,7 @@
 
 // State of one engine as its agent knows it.
 struct EngineLoad {
-  EngineName name;
+  EngineName name;  // Only in the first report on a connection.
   EngineRole role = EngineRole::kDecode;
   bool healthy = true;
   uint32_t running = 0;
@@ -167,7 +167,7 @@
 // Agent to entry: what the upstream serves and how full it is. Sent when a
 // connection comes up, when the upstream starts to leave, and every second.
 struct LoadReport {
-  UpstreamName upstream;
+  UpstreamName upstream;  // Like the service only in the first report.
   ServiceName service;
   bool plain = false;
   bool leaving = false;
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -1,5 +1,7 @@
 #include "burdockhill/src/wire/codec.h"
 
+#include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -32,6 +34,13 @@
   return static_cast<uint8_t>(value);
 }
 
+// `value` as a smaller type; what does not fit becomes the nearest limit.
+template <typename T>
+T Saturated(int64_t value) {
+  constexpr int64_t kMax = std::numeric_limits<T>::max();
+  return static_cast<T>(std::clamp<int64_t>(value, 0, kMax));
+}
+
 // One overload a message: encodes it and returns its place in the union.
 struct Encoder {
   Builder& b;
@@ -134,18 +143,25 @@
     Set(Body::AttemptReleased, CreateAttemptReleased(b, &a));
   }
   void operator()(const burdockhill::LoadReport& m) {
-    std::vector<Offset<EngineLoad>> engines;
-    engines.reserve(m.engines.size());
+    std::vector<EngineLoad> engines;
+    std::vector<std::string> names;
     for (const burdockhill::EngineLoad& e : m.engines) {
-      engines.push_back(
-          CreateEngineLoad(b, Text(b, e.name), Number(e.role), e.healthy,
-                           e.running, e.slots, e.waiting, e.free_pieces.Value(),
-                           e.queued_prefill.Value(), e.prefill_rate));
+      engines.emplace_back(Number(e.role), e.healthy,
+                           Saturated<uint16_t>(e.running),
+                           Saturated<uint16_t>(e.slots),
+                           Saturated<uint16_t>(e.waiting),
+                           Saturated<uint32_t>(e.free_pieces.Value()),
+                           Saturated<uint32_t>(e.queued_prefill.Value()),
+                           Saturated<uint32_t>(e.prefill_rate));
+      if (e.name.IsValid()) names.push_back(e.name.Value());
     }
+    const auto names_offset =
+        names.empty() ? 0 : b.CreateVectorOfStrings(names);
+    const auto engines_offset = b.CreateVectorOfStructs(engines);
     Set(Body::LoadReport,
         CreateLoadReport(b, Text(b, m.upstream), Text(b, m.service), m.plain,
                          m.leaving, m.in_force.Value(), m.staged.Value(),
-                         b.CreateVector(engines)));
+                         engines_offset, names_offset));
   }
   void operator()(const burdockhill::ConfigurationOffer& m) {
     Set(Body::ConfigurationOffer,
@@ -306,12 +322,16 @@
   out.in_force = Generation(m.in_force());
   out.staged = Generation(m.staged());
   if (m.engines() == nullptr) return out;
+  const auto* names = m.names();
   for (const EngineLoad* e : *m.engines()) {
     burdockhill::EngineLoad load;
     if (!ReadEnum(e->role(), EngineRole::kDecode, &load.role)) {
       return std::nullopt;
     }
-    load.name = EngineName(Text(e->name()));
+    const auto index = static_cast<flatbuffers::uoffset_t>(out.engines.size());
+    if (names != nullptr && index < names->size()) {
+      load.name = EngineName(Text(names->Get(index)));
+    }
     load.healthy = e->healthy();
     load.running = e->running();
     load.slots = e->slots();
