Notice callers that close while they wait for their answer

Cause: libwebsockets reports a close only when it next writes, and while a half-closed connection has a response pending it turns the loop without pause (212,000 polls a second, one core). So a caller who left the queue was found only at the first token, after a prefill, and one idle connection could take the entry's core. Ruled out: partial heads, partial bodies and idle connections; those are closed at once. Change: HttpServer looks every 50 ms whether callers with open exchanges have closed.

--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -116,8 +116,8 @@
   resources.push_back({{"ModelService", "m"}, "{}"});
   for (size_t i = 0; i < upstreams; ++i) {
     const std::string vm = "runner-" + std::to_string(i);
-    resources.push_back({{"Upstream", vm},
-                         R"({"service":"m","vm":")" + vm + R"("})"});
+    resources.push_back(
+        {{"Upstream", vm}, R"({"service":"m","vm":")" + vm + R"("})"});
   }
   for (size_t i = 0; i < tenants; ++i) {
     std::string key = std::to_string(i);
@@ -153,10 +153,10 @@
       store.vms.push_back(vm);
       agents.push_back(vm.name);
     }
-    core.Step();
     core.OnMessage(VmName("peer"),
                    ConfigurationOffer{Generation(1), true,
                                       ConfigurationText(peers, tenants)});
+    core.Step();
     for (size_t i = 0; i < peers; ++i) {
       Hello hello;
       hello.vm = agents[i];
@@ -455,8 +455,8 @@
   Line bytes;
   for (const size_t chunks : {1, 10, 50, 100}) {
     std::vector<Message> messages(
-        chunks, StreamChunk{{RequestId(1), 1, Incarnation(1)}, 5, 1, " token",
-                            ""});
+        chunks,
+        StreamChunk{{RequestId(1), 1, Incarnation(1)}, 5, 1, " token", ""});
     Hello a;
     a.nonce = std::string(32, 'a');
     Hello b = a;
@@ -475,8 +475,7 @@
       got.clear();
       accepting.Receive(frame, &got);
     }
-    cpu.Add(static_cast<double>(chunks),
-            (CpuMicroseconds() - start) / kRounds);
+    cpu.Add(static_cast<double>(chunks), (CpuMicroseconds() - start) / kRounds);
     bytes.Add(static_cast<double>(chunks), static_cast<double>(size));
   }
   cpu.Print("wire: encode, authenticate and decode a chunk", "us/chunk");
--- a/burdockhill/src/entry/configuration_content.cc
+++ b/burdockhill/src/entry/configuration_content.cc
@@ -26,13 +26,12 @@
   for (const auto& [name, upstream] : parsed->upstreams) {
     std::vector<ResourceText> part = policies;
     const bool plain = parsed->plain_services.contains(upstream.service);
-    part.push_back(others.at({plain ? "PlainService" : "ModelService",
-                              upstream.service.Value()}));
+    part.push_back(others.at(
+        {plain ? "PlainService" : "ModelService", upstream.service.Value()}));
     part.push_back(others.at({"Upstream", name.Value()}));
     content->m_parts[upstream.vm] = ComposeConfiguration(part);
   }
-  content->m_parsed =
-      std::make_shared<const Configuration>(*std::move(parsed));
+  content->m_parsed = std::make_shared<const Configuration>(*std::move(parsed));
   return content;
 }
 
--- a/burdockhill/src/entry/entry_configuration.cc
+++ b/burdockhill/src/entry/entry_configuration.cc
@@ -111,8 +111,7 @@
       });
 }
 
-void EntryConfiguration::Stage(Generation generation,
-                               const std::string& text) {
+void EntryConfiguration::Stage(Generation generation, const std::string& text) {
   const auto content = ConfigurationContent::Parse(text);
   if (content == nullptr) return;
   m_contents[generation] = content;
--- a/burdockhill/src/entry/membership.cc
+++ b/burdockhill/src/entry/membership.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "burdockhill/src/entry/agent_subset.h"
+
 namespace burdockhill {
 
 namespace {
@@ -76,7 +78,8 @@
     }
     view.report->upstream = before->upstream;
     view.report->service = before->service;
-    const size_t named = std::min(report.engines.size(), before->engines.size());
+    const size_t named =
+        std::min(report.engines.size(), before->engines.size());
     for (size_t i = 0; i < named; ++i) {
       view.report->engines[i].name = before->engines[i].name;
     }
@@ -94,6 +97,7 @@
     m_next_list = m_board->now + kListInterval;
     RefreshList();
   }
+  if (m_board->in_force != m_applied) ApplyList(m_board->listed_vms);
   for (auto& [vm, view] : m_board->upstreams) {
     // Whoever was not read for a while cannot call others silent.
     if (was_paused) {
@@ -111,13 +115,18 @@
       });
 }
 
-void Membership::ApplyList(const std::vector<ListedVm>& vms) {
+void Membership::ApplyList(std::vector<ListedVm> vms) {
+  m_applied = m_board->in_force;
   m_board->listed_vms = vms;
   for (auto& [name, view] : m_board->upstreams) view.listed = false;
+  std::set<VmName> wanted;
+  if (m_board->configuration != nullptr) {
+    wanted = ChooseAgents(m_board->self.vm, *m_board->configuration, vms);
+  }
   int64_t entries = 0;
   for (const ListedVm& vm : vms) {
     if (vm.role == Role::kEntry) ++entries;
-    if (!IsWanted(vm)) continue;
+    if (!wanted.contains(vm.name)) continue;
     const bool is_new = !m_board->upstreams.contains(vm.name);
     UpstreamView& view = m_board->upstreams[vm.name];
     view.listed = true;
@@ -143,10 +152,6 @@
   }
 }
 
-bool Membership::IsWanted(const ListedVm& vm) const {
-  return vm.role == Role::kAgent;
-}
-
 void Membership::CheckSilence(UpstreamView* view) {
   const TimePoint now = m_board->now;
   if (view->state == PeerState::kUp) {
--- a/burdockhill/src/entry/membership.h
+++ b/burdockhill/src/entry/membership.h
@@ -23,14 +23,14 @@
 
  private:
   void RefreshList();
-  void ApplyList(const std::vector<ListedVm>& vms);
-  bool IsWanted(const ListedVm& vm) const;
+  void ApplyList(std::vector<ListedVm> vms);
   void CheckSilence(UpstreamView* view);
 
   EntryBlackboard* m_board;
   PeerLink* m_peers;
   ObjectStore* m_store;
   TimePoint m_next_list{};
+  Generation m_applied;  // In force when the list was last applied.
   TimePoint m_last_step{};
   uint64_t m_heartbeats = 0;
 };
--- a/burdockhill/src/resources/configuration.cc
+++ b/burdockhill/src/resources/configuration.cc
@@ -16,6 +16,7 @@
 
 const std::vector<std::string> kClassNames = {"interactive", "standard",
                                               "batch"};
+const std::vector<std::string> kPools = {"mixed", "prefill", "decode"};
 const std::vector<std::string> kRegionRules = {"local_only", "prefer_local"};
 constexpr int64_t kMaxTokens = 10'000'000;
 constexpr int64_t kMaxRate = 1'000'000;
@@ -74,6 +75,9 @@
   Upstream out;
   reader->Read("service", Need::kRequired, &out.service);
   reader->Read("vm", Need::kRequired, &out.vm);
+  auto pool = static_cast<size_t>(out.pool);
+  reader->ReadChoice("pool", Need::kOptional, kPools, &pool);
+  out.pool = static_cast<Pool>(pool);
   reader->Read("drain", Need::kOptional, &out.drain);
   return out;
 }
--- a/burdockhill/src/resources/resource.h
+++ b/burdockhill/src/resources/resource.h
@@ -41,11 +41,16 @@
   Duration timeout = std::chrono::seconds(30);
 };
 
+// Which engines an upstream mostly has. Entries that connect to a part of a
+// service's upstreams take their part from each pool.
+enum class Pool { kMixed, kPrefill, kDecode };
+
 // Which VM serves a service, and whether it is to be emptied.
 struct Upstream {
   UpstreamName name;
   ServiceName service;
   VmName vm;
+  Pool pool = Pool::kMixed;
   bool drain = false;
 };
 
--- a/burdockhill/src/transport/http_server.cc
+++ b/burdockhill/src/transport/http_server.cc
@@ -1,6 +1,7 @@
 #include "burdockhill/src/transport/http_server.h"
 
 #include <libwebsockets.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <chrono>
@@ -20,6 +21,8 @@
 // Largest part of a body that is handed to the socket at once.
 constexpr size_t kWriteBytes = size_t{64} << 10;
 
+constexpr Duration kClosedCheckInterval = std::chrono::milliseconds(50);
+
 // State of one exchange between request and end of response.
 struct Exchange {
   lws* wsi = nullptr;
@@ -150,7 +153,23 @@
     exchange->out.append(data);
   }
 
+  // Aborts exchanges whose callers have closed. libwebsockets does not tell of
+  // a close while a response is awaited, and it turns the loop without pause
+  // for as long as such a connection is open.
+  void AbortClosed() {
+    const TimePoint now = m_clock.Now();
+    if (now < m_next_check) return;
+    m_next_check = now + kClosedCheckInterval;
+    for (const auto& [id, exchange] : m_exchanges) {
+      char byte = 0;
+      const ssize_t size = recv(lws_get_socket_fd(exchange.wsi), &byte, 1,
+                                MSG_PEEK | MSG_DONTWAIT);
+      if (size == 0) Abort(id);
+    }
+  }
+
   void Flush() {
+    AbortClosed();
     for (const ExchangeId& id : std::exchange(m_with_data, {})) {
       Exchange* exchange = m_exchanges.Find(id);
       if (exchange == nullptr) continue;
@@ -348,6 +367,8 @@
   lws_vhost* m_vhost = nullptr;
   std::array<lws_protocols, 2> m_protocols{};
   uint64_t m_last_id = 0;
+  SystemClock m_clock;
+  TimePoint m_next_check{};
   Table<ExchangeId, Exchange> m_exchanges;
   std::vector<ExchangeId> m_with_data;
 };
--- a/burdockhill/src/transport/http_server.h
+++ b/burdockhill/src/transport/http_server.h
@@ -72,7 +72,9 @@
   void StreamData(ExchangeId id, std::string_view data);
   void EndStream(ExchangeId id);
 
-  // Hands the data of streams to their sockets. Call once a turn of the loop.
+  // Hands the data of streams to their sockets, and notices callers that have
+  // closed, also those that have closed only their sending side. Call once a
+  // turn of the loop.
   void Flush();
 
   // Closes the connection of an exchange; OnClosed follows.
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -146,13 +146,12 @@
     std::vector<EngineLoad> engines;
     std::vector<std::string> names;
     for (const burdockhill::EngineLoad& e : m.engines) {
-      engines.emplace_back(Number(e.role), e.healthy,
-                           Saturated<uint16_t>(e.running),
-                           Saturated<uint16_t>(e.slots),
-                           Saturated<uint16_t>(e.waiting),
-                           Saturated<uint32_t>(e.free_pieces.Value()),
-                           Saturated<uint32_t>(e.queued_prefill.Value()),
-                           Saturated<uint32_t>(e.prefill_rate));
+      engines.emplace_back(
+          Number(e.role), e.healthy, Saturated<uint16_t>(e.running),
+          Saturated<uint16_t>(e.slots), Saturated<uint16_t>(e.waiting),
+          Saturated<uint32_t>(e.free_pieces.Value()),
+          Saturated<uint32_t>(e.queued_prefill.Value()),
+          Saturated<uint32_t>(e.prefill_rate));
       if (e.name.IsValid()) names.push_back(e.name.Value());
     }
     const auto names_offset =
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -48,7 +48,7 @@
         daemon(vm, "agent", zone, region,
                {"upstream": {"name": vm, "service": model,
                              "back_ends": back_ends}})
-        upstreams.append((vm, model))
+        upstreams.append((vm, {"service": model, "vm": vm, "pool": role}))
 
     def plain_vm(vm, zone, region):
         back_end = address()
@@ -58,7 +58,7 @@
                {"upstream": {"name": vm, "service": plain, "plain": True,
                              "back_ends": [{"name": "app",
                                             "address": back_end}]}})
-        upstreams.append((vm, plain))
+        upstreams.append((vm, {"service": plain, "vm": vm}))
 
     seed = 0
     for zone, region in zones:
@@ -85,8 +85,7 @@
                           "repeatable": False}],
                      "duplicate_key": {"header": "Idempotency-Key"},
                      "timeout_ms": 10000})]
-    resources += [resource("Upstream", vm, {"service": service, "vm": vm})
-                  for vm, service in upstreams]
+    resources += [resource("Upstream", vm, spec) for vm, spec in upstreams]
     for tenant, spec in tenants.items():
         digest = hashlib.sha256(f"demo-{tenant}".encode()).hexdigest()
         resources.append(resource("Tenant", tenant,
--- a/standins/plain_main.cc
+++ b/standins/plain_main.cc
@@ -47,6 +47,7 @@
   }
 
   void Step() {
+    m_server->Flush();
     const TimePoint now = m_clock->Now();
     while (!m_waiting.empty() && m_waiting.front().first <= now) {
       const Answer answer = m_waiting.front().second;
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -95,6 +95,7 @@
   }
 
   void Step() {
+    m_server->Flush();
     const TimePoint now = m_clock->Now();
     while (!m_delayed.empty() && m_delayed.front().first <= now) {
       const auto [id, request] = std::move(m_delayed.front().second);
