--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -121,7 +121,7 @@
   }
   for (size_t i = 0; i < tenants; ++i) {
     std::string key = std::to_string(i);
-    key = std::string(64 - key.size(), '0') + key;
+    key.insert(0, 64 - key.size(), '0');
     resources.push_back(
         {{"Tenant", "tenant-" + std::to_string(i)},
          R"({"key_sha256":")" + key +
@@ -373,6 +373,7 @@
   }
   static std::vector<std::pair<EngineName, std::string>> BackEnds() {
     std::vector<std::pair<EngineName, std::string>> back_ends;
+    back_ends.reserve(8);
     for (int e = 0; e < 8; ++e) {
       back_ends.emplace_back("engine-" + std::to_string(e), "");
     }
--- a/burdockhill/src/adapters/caller_api.cc
+++ b/burdockhill/src/adapters/caller_api.cc
@@ -48,9 +48,8 @@
     if (request.method != "POST") {
       return Refuse(id, ErrorKind::kMethodNotAllowed);
     }
-    return OnCompletion(id,
-                        chat ? CompletionStyle::kChat : CompletionStyle::kText,
-                        std::move(request));
+    return OnCompletion(
+        id, chat ? CompletionStyle::kChat : CompletionStyle::kText, request);
   }
   if (request.path == "/v1/models") {
     if (request.method != "GET") {
--- a/burdockhill/src/adapters/operators_api.cc
+++ b/burdockhill/src/adapters/operators_api.cc
@@ -78,8 +78,9 @@
   for (const auto& [vm, view] : board.upstreams) {
     status["upstreams"].push_back(UpstreamObject(view));
   }
-  if (board.configuration == nullptr)
+  if (board.configuration == nullptr) {
     return {200, "application/json", status.dump()};
+  }
   for (const auto& [name, model] : board.configuration->models) {
     status["services"].push_back({{"name", name.Value()}, {"kind", "model"}});
   }
--- a/burdockhill/src/agent/attempt_store.cc
+++ b/burdockhill/src/agent/attempt_store.cc
@@ -15,13 +15,13 @@
 }  // namespace
 
 void Refuse(AgentBlackboard* board, PeerLink* peers, const VmName& entry,
-            const AttemptId& id, ErrorKind kind, Duration retry_after) {
+            AttemptId id, ErrorKind kind, Duration retry_after) {
   Bury(board, id);
   ++board->counters.refused;
   peers->Send(entry, AttemptRefused{id, kind, retry_after});
 }
 
-void Bury(AgentBlackboard* board, const AttemptId& id) {
+void Bury(AgentBlackboard* board, AttemptId id) {
   const TimePoint until = board->now + kTombstoneTime;
   board->tombstones.FindOrInsert(id) = until;
   board->tombstone_order.emplace_back(until, id);
--- a/burdockhill/src/agent/attempt_store.h
+++ b/burdockhill/src/agent/attempt_store.h
@@ -11,10 +11,10 @@
 // Answers an order for `id` without taking it: the attempt did not run, and a
 // tombstone sees to it that it never will.
 void Refuse(AgentBlackboard* board, PeerLink* peers, const VmName& entry,
-            const AttemptId& id, ErrorKind kind, Duration retry_after);
+            AttemptId id, ErrorKind kind, Duration retry_after);
 
 // Remembers that `id` must not start any more.
-void Bury(AgentBlackboard* board, const AttemptId& id);
+void Bury(AgentBlackboard* board, AttemptId id);
 
 // Gives back the slot and memory of an attempt. Harmless when it has none.
 void FreeHeld(AgentBlackboard* board, Attempt* attempt);
--- a/burdockhill/src/agent/cancellation.cc
+++ b/burdockhill/src/agent/cancellation.cc
@@ -97,8 +97,9 @@
   while (!order.empty() && order.front().first < m_board->now) {
     const AttemptId& id = order.front().second;
     const TimePoint* until = m_board->tombstones.Find(id);
-    if (until != nullptr && *until < m_board->now)
+    if (until != nullptr && *until < m_board->now) {
       m_board->tombstones.Erase(id);
+    }
     order.pop_front();
   }
 }
@@ -129,7 +130,7 @@
   }
 }
 
-void Cancellation::Release(const AttemptId& id) {
+void Cancellation::Release(AttemptId id) {
   Attempt* attempt = m_board->attempts.Find(id);
   const VmName entry = attempt->entry;
   internal::FreeHeld(m_board, attempt);
--- a/burdockhill/src/agent/cancellation.h
+++ b/burdockhill/src/agent/cancellation.h
@@ -26,7 +26,8 @@
 
  private:
   void End(Attempt* attempt);
-  void Release(const AttemptId& id);
+  // By value: the id may be part of what is erased.
+  void Release(AttemptId id);
 
   AgentBlackboard* m_board;
   PeerLink* m_peers;
--- a/burdockhill/src/base/table.h
+++ b/burdockhill/src/base/table.h
@@ -29,7 +29,8 @@
         .first->second;
   }
 
-  void Erase(const Id& id) { m_objects.erase(id); }
+  // By value: the id may be part of the object.
+  void Erase(Id id) { m_objects.erase(id); }
   void Clear() { m_objects.clear(); }
   size_t Size() const { return m_objects.size(); }
 
--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -464,8 +464,9 @@
                  }
                  m_store->Get(RolloutKey(), [this](StoreStatus got,
                                                    const StoredObject& object) {
-                   if (got == StoreStatus::kOk)
+                   if (got == StoreStatus::kOk) {
                      m_rollout_version = object.version;
+                   }
                    if (got == StoreStatus::kNotFound) m_rollout_version = 0;
                  });
                });
--- a/burdockhill/src/entry/membership.cc
+++ b/burdockhill/src/entry/membership.cc
@@ -9,7 +9,10 @@
 
 namespace {
 
+// The platform's list is read this often, and less often when it is long, so
+// that its bytes a second stay bounded: about 3 KB/s at 150 bytes a VM.
 constexpr Duration kListInterval = std::chrono::seconds(5);
+constexpr Duration kListIntervalPerVm = std::chrono::milliseconds(50);
 // A connection on which nothing has come for so long is asked for a sign.
 constexpr Duration kHeartbeatAfter = std::chrono::seconds(1);
 // After so long without a sign a new connection is tried.
@@ -94,10 +97,12 @@
       m_last_step != TimePoint() && m_board->now - m_last_step > kPauseGap;
   m_last_step = m_board->now;
   if (m_board->now >= m_next_list) {
-    m_next_list = m_board->now + kListInterval;
+    const auto vms = static_cast<int64_t>(m_board->listed_vms.size());
+    m_next_list =
+        m_board->now + std::max(kListInterval, kListIntervalPerVm * vms);
     RefreshList();
   }
-  if (m_board->in_force != m_applied) ApplyList(m_board->listed_vms);
+  if (m_board->in_force != m_applied) ApplyList();
   for (auto& [vm, view] : m_board->upstreams) {
     // Whoever was not read for a while cannot call others silent.
     if (was_paused) {
@@ -111,13 +116,15 @@
 void Membership::RefreshList() {
   m_store->ListVms(
       [this](StoreStatus status, const std::vector<ListedVm>& vms) {
-        if (status == StoreStatus::kOk) ApplyList(vms);
+        if (status != StoreStatus::kOk) return;
+        m_board->listed_vms = vms;
+        ApplyList();
       });
 }
 
-void Membership::ApplyList(std::vector<ListedVm> vms) {
+void Membership::ApplyList() {
   m_applied = m_board->in_force;
-  m_board->listed_vms = vms;
+  const std::vector<ListedVm>& vms = m_board->listed_vms;
   for (auto& [name, view] : m_board->upstreams) view.listed = false;
   std::set<VmName> wanted;
   if (m_board->configuration != nullptr) {
--- a/burdockhill/src/entry/membership.h
+++ b/burdockhill/src/entry/membership.h
@@ -23,7 +23,7 @@
 
  private:
   void RefreshList();
-  void ApplyList(std::vector<ListedVm> vms);
+  void ApplyList();
   void CheckSilence(UpstreamView* view);
 
   EntryBlackboard* m_board;
--- a/burdockhill/src/entry/placement.cc
+++ b/burdockhill/src/entry/placement.cc
@@ -48,8 +48,9 @@
 void Placement::Step() {
   for (const RequestId& id : std::exchange(m_board->to_place, {})) {
     Request* request = m_board->requests.Find(id);
-    if (request == nullptr || request->phase != RequestPhase::kWaiting)
+    if (request == nullptr || request->phase != RequestPhase::kWaiting) {
       continue;
+    }
     ++request->rounds;
     if (request->asked.plain) {
       PlaceCall(request);
--- a/burdockhill/src/entry/request_steps.cc
+++ b/burdockhill/src/entry/request_steps.cc
@@ -57,7 +57,7 @@
   return leg;
 }
 
-void ReleaseLeg(EntryBlackboard* board, const AttemptId& id) {
+void ReleaseLeg(EntryBlackboard* board, AttemptId id) {
   Leg* leg = board->legs.Find(id);
   if (leg == nullptr || leg->releasing) return;
   if (Request* request = board->requests.Find(leg->request)) {
--- a/burdockhill/src/entry/request_steps.h
+++ b/burdockhill/src/entry/request_steps.h
@@ -25,7 +25,8 @@
             LegKind kind);
 
 // Detaches an attempt from its request and has the agent free what it holds.
-void ReleaseLeg(EntryBlackboard* board, const AttemptId& id);
+// By value: the id may be part of the request that is changed.
+void ReleaseLeg(EntryBlackboard* board, AttemptId id);
 
 // The request of an attempt that still counts, or nullptr.
 Request* RequestOf(EntryBlackboard* board, const AttemptId& id);
--- a/burdockhill/src/transport/http_client.cc
+++ b/burdockhill/src/transport/http_client.cc
@@ -10,6 +10,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
 #include "burdockhill/src/transport/opaque_id.h"
+#include "burdockhill/src/transport/vhost_owner.h"
 
 namespace burdockhill {
 
@@ -33,7 +34,7 @@
 
 }  // namespace
 
-class HttpClient::Impl {
+class HttpClient::Impl : public internal::VhostOwner<HttpClient::Impl> {
  public:
   explicit Impl(EventLoop* loop) : m_context(loop->Context()) {
     m_protocols[0] = {kProtocolName, &Impl::Callback, 0, 0, 0, nullptr, 0};
@@ -115,9 +116,7 @@
 
   static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
                       void* in, size_t length) {
-    lws_vhost* vhost = lws_get_vhost(wsi);
-    if (vhost == nullptr) return 0;
-    auto* impl = static_cast<Impl*>(lws_vhost_user(vhost));
+    Impl* impl = Of(wsi);
     if (impl == nullptr) return 0;
     return impl->Handle(wsi, reason, user, in, length);
   }
--- a/burdockhill/src/transport/http_server.cc
+++ b/burdockhill/src/transport/http_server.cc
@@ -10,6 +10,7 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
+#include "burdockhill/src/transport/vhost_owner.h"
 
 namespace burdockhill {
 
@@ -101,7 +102,7 @@
 
 }  // namespace
 
-class HttpServer::Impl {
+class HttpServer::Impl : public internal::VhostOwner<HttpServer::Impl> {
  public:
   Impl(EventLoop* loop, const Options& options, HttpHandler* handler)
       : m_options(options), m_handler(handler) {
@@ -207,9 +208,7 @@
  private:
   static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
                       void* in, size_t length) {
-    lws_vhost* vhost = lws_get_vhost(wsi);
-    if (vhost == nullptr) return 0;
-    auto* impl = static_cast<Impl*>(lws_vhost_user(vhost));
+    Impl* impl = Of(wsi);
     auto* connection = static_cast<Connection*>(user);
     if (impl == nullptr) return 0;
     switch (reason) {
--- a/burdockhill/src/transport/peer_transport.cc
+++ b/burdockhill/src/transport/peer_transport.cc
@@ -13,6 +13,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
 #include "burdockhill/src/transport/opaque_id.h"
+#include "burdockhill/src/transport/vhost_owner.h"
 #include "burdockhill/src/wire/peer_session.h"
 
 namespace burdockhill {
@@ -56,7 +57,7 @@
 
 }  // namespace
 
-class PeerTransport::Impl {
+class PeerTransport::Impl : public internal::VhostOwner<PeerTransport::Impl> {
  public:
   Impl(EventLoop* loop, const Options& options, Random* random)
       : m_context(loop->Context()), m_options(options), m_random(random) {
@@ -167,9 +168,7 @@
 
   static int Callback(lws* wsi, lws_callback_reasons reason, void* user,
                       void* in, size_t length) {
-    lws_vhost* vhost = lws_get_vhost(wsi);
-    if (vhost == nullptr) return 0;
-    auto* impl = static_cast<Impl*>(lws_vhost_user(vhost));
+    Impl* impl = Of(wsi);
     if (impl == nullptr || impl->m_events == nullptr) return 0;
     return impl->Handle(wsi, reason, user, in, length);
   }
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -205,8 +205,9 @@
   out.zone = ZoneName(Text(m.zone()));
   out.region = RegionName(Text(m.region()));
   out.incarnation = Incarnation(m.incarnation());
-  if (m.nonce() != nullptr)
+  if (m.nonce() != nullptr) {
     out.nonce.assign(m.nonce()->begin(), m.nonce()->end());
+  }
   return out;
 }
 
--- a/emulation/store_fake.cc
+++ b/emulation/store_fake.cc
@@ -79,7 +79,7 @@
 }
 
 void StoreFake::Write(std::function<StoreStatus(uint64_t*)> write,
-                      PutDone done) {
+                      const PutDone& done) {
   auto status = std::make_shared<StoreStatus>();
   auto version = std::make_shared<uint64_t>(0);
   m_platform->Call(
--- a/emulation/store_fake.h
+++ b/emulation/store_fake.h
@@ -80,7 +80,7 @@
  private:
   // `action`, bound to the present life of the process.
   std::function<void()> InProcess(std::function<void()> action);
-  void Write(std::function<StoreStatus(uint64_t*)> write, PutDone done);
+  void Write(std::function<StoreStatus(uint64_t*)> write, const PutDone& done);
 
   PlatformFake* m_platform;
   Node* m_node;
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -97,7 +97,7 @@
   for (int e = 0; e < 170; ++e) {
     const auto chosen = ChooseAgents(VmName("entry-" + std::to_string(e)),
                                      configuration, listed);
-    LONGS_EQUAL(28 * 2 * kAgentsPerPool, chosen.size());
+    LONGS_EQUAL(size_t{28} * 2 * kAgentsPerPool, chosen.size());
     for (const VmName& vm : chosen) ++entries_of[vm];
   }
   LONGS_EQUAL(listed.size(), entries_of.size());
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -5,8 +5,6 @@
 #include "tests/promise_commands.h"
 #include "tests/promise_oracle.h"
 
-using burdockhill::Command;
-using burdockhill::CommandKind;
 using burdockhill::CommandRunner;
 using burdockhill::PromiseOracle;
 using burdockhill::emulation::World;
@@ -69,8 +67,9 @@
 }
 
 TEST(Failures, CallToAHungServiceEndsAndHoldsNothing) {
-  for (const auto& upstream : world.Upstreams())
+  for (const auto& upstream : world.Upstreams()) {
     upstream->Faults().hangs = true;
+  }
   const auto id = world.SendCall(0, "POST", "order");
   world.Run(seconds(31));
   const auto& view = world.Callers().Views().at(*id);
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -5,7 +5,6 @@
 #include <CppUTest/TestHarness.h>
 
 using burdockhill::Histogram;
-using burdockhill::MetricLabels;
 using burdockhill::MetricsRegistry;
 
 TEST_GROUP(HistogramBuckets){};
