Write peer frames at once when the socket has room

Cause: every frame waited for one more poll before it was written; a request's first token takes six frames.

--- a/burdockhill/src/transport/peer_transport.cc
+++ b/burdockhill/src/transport/peer_transport.cc
@@ -251,7 +251,15 @@
     Connection* connection = m_connections.Find(peer->current);
     if (connection == nullptr || messages.empty()) return;
     ++m_traffic.frames_sent;
+    const bool was_empty = connection->Pending() == 0;
     Write(connection, connection->session.Encode(messages));
+    // One wait for I/O less a frame; the callback writes what is left.
+    const bool direct = was_empty && connection->wsi != nullptr &&
+                        lws_partial_buffered(connection->wsi) == 0 &&
+                        lws_send_pipe_choked(connection->wsi) == 0;
+    if (direct && !WriteSome(connection)) Kill(peer->current);
+    connection = m_connections.Find(peer->current);
+    if (connection == nullptr) return;
     if (connection->Pending() > kMaxBacklogBytes) Kill(peer->current);
   }
 
@@ -268,23 +276,27 @@
 
   int OnWriteable(lws* wsi) {
     Connection* connection = m_connections.Find(IdOf(wsi));
-    if (connection == nullptr) return -1;
+    if (connection == nullptr || !WriteSome(connection)) return -1;
+    if (connection->Pending() > 0) lws_callback_on_writable(wsi);
+    return 0;
+  }
+
+  // Hands one part of what is pending to the socket; false if that is broken.
+  static bool WriteSome(Connection* connection) {
     const size_t size = std::min(connection->Pending(), kWriteBytes);
-    if (size == 0) return 0;
+    if (size == 0) return true;
     static thread_local std::vector<uint8_t> buffer(LWS_PRE + kWriteBytes);
     std::memcpy(buffer.data() + LWS_PRE,
                 connection->out.data() + connection->out_start, size);
-    if (lws_write(wsi, buffer.data() + LWS_PRE, size, LWS_WRITE_RAW) < 0) {
-      return -1;
+    if (lws_write(connection->wsi, buffer.data() + LWS_PRE, size,
+                  LWS_WRITE_RAW) < 0) {
+      return false;
     }
     connection->out_start += size;
-    if (connection->Pending() > 0) {
-      lws_callback_on_writable(wsi);
-      return 0;
-    }
+    if (connection->Pending() > 0) return true;
     connection->out.clear();
     connection->out_start = 0;
-    return 0;
+    return true;
   }
 
   void Kill(ConnectionId id) {
