Give the lease its own class and one check to all orders of an agent

Change: ConfigurationLease; internal::IsToBeTaken; RunStandin for the three stand-ins. Also two stories for breakages that the fuzzer missed on purpose-made faults: a cancel that is not repeated, and an older generation.

--- a/burdockhill/src/agent/attempt_store.cc
+++ b/burdockhill/src/agent/attempt_store.cc
@@ -21,6 +21,25 @@
   peers->Send(entry, AttemptRefused{id, kind, retry_after});
 }
 
+bool IsToBeTaken(AgentBlackboard* board, PeerLink* peers, const VmName& entry,
+                 AttemptId id, const ServiceName& service) {
+  if (const Attempt* known = board->attempts.Find(id)) {
+    Report(peers, *known, known->tail.NextOffset());
+    return false;
+  }
+  ErrorKind kind = ErrorKind::kNone;
+  if (board->tombstones.Find(id) != nullptr) {
+    kind = ErrorKind::kCallerGone;
+  } else if (board->leaving) {
+    kind = ErrorKind::kLeaving;
+  } else if (service != board->self.service) {
+    kind = ErrorKind::kUpstreamRefused;
+  }
+  if (kind == ErrorKind::kNone) return true;
+  Refuse(board, peers, entry, id, kind, Duration(0));
+  return false;
+}
+
 void Bury(AgentBlackboard* board, AttemptId id) {
   const TimePoint until = board->now + kTombstoneTime;
   board->tombstones.FindOrInsert(id) = until;
--- a/burdockhill/src/agent/attempt_store.h
+++ b/burdockhill/src/agent/attempt_store.h
@@ -13,6 +13,12 @@
 void Refuse(AgentBlackboard* board, PeerLink* peers, const VmName& entry,
             AttemptId id, ErrorKind kind, Duration retry_after);
 
+// Whether an order that starts work for `id` is to be taken. If not, it has
+// been answered: a known attempt with what became of it, and one that was
+// buried, or that a leaving or another upstream got, with a refusal.
+bool IsToBeTaken(AgentBlackboard* board, PeerLink* peers, const VmName& entry,
+                 AttemptId id, const ServiceName& service);
+
 // Remembers that `id` must not start any more.
 void Bury(AgentBlackboard* board, AttemptId id);
 
--- a/burdockhill/src/agent/decode_reservation.cc
+++ b/burdockhill/src/agent/decode_reservation.cc
@@ -16,18 +16,14 @@
 
 void DecodeReservation::OnReserve(const VmName& entry,
                                   const ReserveDecode& order) {
-  if (Attempt* known = m_board->attempts.Find(order.attempt)) {
-    internal::Report(m_peers, *known, known->tail.NextOffset());
+  if (!internal::IsToBeTaken(m_board, m_peers, entry, order.attempt,
+                             order.service)) {
     return;
   }
   const auto refuse = [&](ErrorKind kind, Duration retry_after) {
     internal::Refuse(m_board, m_peers, entry, order.attempt, kind, retry_after);
   };
-  if (m_board->tombstones.Find(order.attempt) != nullptr) {
-    return refuse(ErrorKind::kCallerGone, Duration(0));
-  }
-  if (m_board->leaving) return refuse(ErrorKind::kLeaving, Duration(0));
-  if (order.service != m_board->self.service || !CanEverFit(order)) {
+  if (!CanEverFit(order)) {
     return refuse(ErrorKind::kUpstreamRefused, Duration(0));
   }
 
--- a/burdockhill/src/agent/plain_calls.cc
+++ b/burdockhill/src/agent/plain_calls.cc
@@ -10,20 +10,14 @@
 }  // namespace
 
 void PlainCalls::OnCall(const VmName& entry, const CallService& call) {
-  if (Attempt* known = m_board->attempts.Find(call.attempt)) {
-    internal::Report(m_peers, *known, 0);
+  if (!internal::IsToBeTaken(m_board, m_peers, entry, call.attempt,
+                             call.service)) {
     return;
   }
   const auto refuse = [&](ErrorKind kind) {
     internal::Refuse(m_board, m_peers, entry, call.attempt, kind, Duration(0));
   };
-  if (m_board->tombstones.Find(call.attempt) != nullptr) {
-    return refuse(ErrorKind::kCallerGone);
-  }
-  if (m_board->leaving) return refuse(ErrorKind::kLeaving);
-  if (!m_board->self.plain || call.service != m_board->self.service) {
-    return refuse(ErrorKind::kUpstreamRefused);
-  }
+  if (!m_board->self.plain) return refuse(ErrorKind::kUpstreamRefused);
   Engine& back_end = m_board->engines.begin()->second;
   if (!back_end.reachable) return refuse(ErrorKind::kUpstreamRefused);
   if (back_end.used_slots >= kMaxCalls) return refuse(ErrorKind::kOverloaded);
--- a/burdockhill/src/agent/prefill_queue.cc
+++ b/burdockhill/src/agent/prefill_queue.cc
@@ -26,20 +26,13 @@
 }  // namespace
 
 void PrefillQueue::OnStart(const VmName& entry, const StartPrefill& order) {
-  if (Attempt* known = m_board->attempts.Find(order.attempt)) {
-    internal::Report(m_peers, *known, 0);
+  if (!internal::IsToBeTaken(m_board, m_peers, entry, order.attempt,
+                             order.service)) {
     return;
   }
   const auto refuse = [&](ErrorKind kind, Duration retry_after) {
     internal::Refuse(m_board, m_peers, entry, order.attempt, kind, retry_after);
   };
-  if (m_board->tombstones.Find(order.attempt) != nullptr) {
-    return refuse(ErrorKind::kCallerGone, Duration(0));
-  }
-  if (m_board->leaving) return refuse(ErrorKind::kLeaving, Duration(0));
-  if (order.service != m_board->self.service) {
-    return refuse(ErrorKind::kUpstreamRefused, Duration(0));
-  }
 
   Attempt attempt;
   attempt.id = order.attempt;
--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -7,14 +7,6 @@
 
 namespace {
 
-constexpr Duration kLeaseRenewInterval = std::chrono::seconds(3);
-// A lease that has not been renewed for so long, by the clock of the VM that
-// watches it, may be taken.
-constexpr Duration kLeaseTakeAfter = std::chrono::seconds(10);
-// A holder that has not had a renewal confirmed for so long stops acting.
-constexpr Duration kLeaseStopAfter = std::chrono::seconds(8);
-// Entries that compete for the lease; the others do not load the store.
-constexpr size_t kCandidates = 3;
 constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(500);
 // Time in which every live VM has to stage a change.
 constexpr Duration kStagingTime = std::chrono::seconds(4);
@@ -54,11 +46,9 @@
 
 void ConfigurationCoordinator::Step() {
   ConnectToCoordinator();
-  if (m_board->now >= m_next_lease_check && !m_lease_busy) CheckLease();
-  if (!m_is_holder) return;
-  if (m_board->now - m_lease_confirmed_at > kLeaseStopAfter) {
-    return StopHolding();
-  }
+  m_lease.Step();
+  if (!m_lease.IsHeld()) return;
+  if (m_lease.Term() != m_term) BeginTerm();
   if (!m_state_known) {
     if (!m_reading_state && m_board->now >= m_next_state_read) ReadState();
     return;
@@ -71,86 +61,8 @@
   UpdateRollout();
 }
 
-// ---- The lease ----
-
-bool ConfigurationCoordinator::IsCandidate() const {
-  size_t before = 0;
-  for (const ListedVm& vm : m_board->listed_vms) {
-    const bool precedes =
-        vm.role == Role::kEntry && !vm.leaving && vm.name < m_board->self.vm;
-    if (precedes) ++before;
-  }
-  return !m_board->listed_vms.empty() && before < kCandidates &&
-         !m_board->leaving;
-}
-
-void ConfigurationCoordinator::CheckLease() {
-  m_next_lease_check =
-      m_board->now + m_board->random->Jitter(kLeaseRenewInterval);
-  if (m_is_holder && !m_board->leaving) {
-    return WriteLease(m_lease_version, m_lease.beat + 1);
-  }
-  if (!IsCandidate()) return;
-  m_lease_busy = true;
-  m_store->Get({kLeaseKind, "configuration"},
-               [this](StoreStatus status, const StoredObject& object) {
-                 m_lease_busy = false;
-                 OnLease(status, object);
-               });
-}
-
-void ConfigurationCoordinator::OnLease(StoreStatus status,
-                                       const StoredObject& object) {
-  if (status == StoreStatus::kNotFound) return WriteLease(0, 1);
-  if (status != StoreStatus::kOk) return;
-  const auto lease = ParseLease(object.value);
-  const bool is_own = lease.has_value() && lease->holder == m_board->self.vm &&
-                      lease->incarnation == m_board->self.incarnation;
-  if (is_own) {
-    // An own write whose answer was lost has taken effect.
-    m_lease = *lease;
-    m_lease_version = object.version;
-    m_lease_confirmed_at = m_board->now;
-    return BecomeHolder();
-  }
-  if (object.version != m_lease_version) {
-    m_lease_version = object.version;
-    m_lease_seen_at = m_board->now;
-    return;
-  }
-  if (m_board->now - m_lease_seen_at > kLeaseTakeAfter) {
-    WriteLease(object.version, 1);
-  }
-}
-
-void ConfigurationCoordinator::WriteLease(uint64_t expected_version,
-                                          uint64_t beat) {
-  m_lease_busy = true;
-  const LeaseObject lease{m_board->self.vm, m_board->self.incarnation, beat};
-  const TimePoint asked_at = m_board->now;
-  m_store->Put({kLeaseKind, "configuration"}, FormatLease(lease),
-               expected_version,
-               [this, lease, asked_at](StoreStatus status, uint64_t version) {
-                 m_lease_busy = false;
-                 if (status == StoreStatus::kOk) {
-                   m_lease = lease;
-                   m_lease_version = version;
-                   m_lease_confirmed_at = asked_at;
-                   return BecomeHolder();
-                 }
-                 if (status == StoreStatus::kConflict) {
-                   // Someone else's write, or an own one whose answer was lost:
-                   // the next read tells which.
-                   StopHolding();
-                   m_next_lease_check = m_board->now;
-                 }
-               });
-}
-
-void ConfigurationCoordinator::BecomeHolder() {
-  if (m_is_holder) return;
-  m_is_holder = true;
-  ++m_term;
+void ConfigurationCoordinator::BeginTerm() {
+  m_term = m_lease.Term();
   m_state_known = false;
   m_accepted_known = false;
   m_listed = false;
@@ -161,11 +73,6 @@
   m_reading_state = false;
 }
 
-void ConfigurationCoordinator::StopHolding() {
-  m_is_holder = false;
-  m_lease_seen_at = m_board->now;
-}
-
 // ---- What is in the store ----
 
 void ConfigurationCoordinator::ReadState() {
--- a/burdockhill/src/entry/configuration_coordinator.h
+++ b/burdockhill/src/entry/configuration_coordinator.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "burdockhill/src/entry/configuration_lease.h"
 #include "burdockhill/src/entry/configuration_state.h"
 #include "burdockhill/src/entry/entry_blackboard.h"
 #include "burdockhill/src/peer/peer_link.h"
@@ -26,12 +27,12 @@
  public:
   ConfigurationCoordinator(EntryBlackboard* board, PeerLink* peers,
                            ObjectStore* store)
-      : m_board(board), m_peers(peers), m_store(store) {}
+      : m_board(board), m_peers(peers), m_store(store), m_lease(board, store) {}
 
   void OnState(const VmName& from, const ConfigurationState& state);
   void Step();
 
-  bool IsHolder() const { return m_is_holder; }
+  bool IsHolder() const { return m_lease.IsHeld(); }
 
  private:
   enum class Stage { kIdle, kPublishing, kCollecting, kAccepting };
@@ -53,13 +54,8 @@
     };
   }
 
-  // The lease.
-  bool IsCandidate() const;
-  void CheckLease();
-  void OnLease(StoreStatus status, const StoredObject& object);
-  void WriteLease(uint64_t expected_version, uint64_t beat);
-  void BecomeHolder();
-  void StopHolding();
+  // Forgets what an earlier term knew.
+  void BeginTerm();
 
   // Operators' writes.
   void WatchResources();
@@ -87,14 +83,8 @@
   PeerLink* m_peers;
   ObjectStore* m_store;
 
-  bool m_is_holder = false;
-  uint64_t m_term = 0;  // Grows each time that the lease is taken.
-  bool m_lease_busy = false;
-  uint64_t m_lease_version = 0;
-  LeaseObject m_lease;
-  TimePoint m_lease_seen_at{};
-  TimePoint m_lease_confirmed_at{};
-  TimePoint m_next_lease_check{};
+  ConfigurationLease m_lease;
+  uint64_t m_term = 0;  // Of the lease, to which the rest belongs.
 
   bool m_watching = false;
   TimePoint m_next_watch{};
--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -1,7 +1,6 @@
 // Stand-in for model engines: several EngineModels behind HTTP, each on its
 // own address. The protocol is described in docs/engine-api.md.
 
-#include <iostream>
 #include <list>
 #include <map>
 #include <memory>
@@ -271,7 +270,10 @@
   int64_t m_crashes = 0;
 };
 
-int Run(const json& settings) {
+}  // namespace
+
+// Runs until it is told to stop.
+static int Run(const json& settings) {
   const SystemClock clock;
   EventLoop loop;
   WatchStopSignals(&loop);
@@ -289,16 +291,9 @@
   return 0;
 }
 
-}  // namespace
 }  // namespace burdockhill::standins
 
 int main(int argc, char** argv) {
-  const auto settings = burdockhill::standins::ReadSettingsFile(argc, argv);
-  if (!settings.has_value()) return 2;
-  try {
-    return burdockhill::standins::Run(*settings);
-  } catch (const std::exception& error) {
-    std::cerr << "engine stand-in: " << error.what() << "\n";
-    return 1;
-  }
+  return burdockhill::standins::RunStandin(argc, argv,
+                                           burdockhill::standins::Run);
 }
--- a/standins/plain_main.cc
+++ b/standins/plain_main.cc
@@ -1,7 +1,6 @@
 // Stand-in for a plain service that takes bookings or orders. GET calls may be
 // repeated; every other call counts as an execution, by body.
 
-#include <iostream>
 #include <map>
 
 #include "burdockhill/src/daemon/stop_signal.h"
@@ -85,7 +84,10 @@
   std::map<std::string, int64_t> m_executions;
 };
 
-int Run(const json& settings) {
+}  // namespace
+
+// Runs until it is told to stop.
+static int Run(const json& settings) {
   const SystemClock clock;
   EventLoop loop;
   WatchStopSignals(&loop);
@@ -98,16 +100,9 @@
   return 0;
 }
 
-}  // namespace
 }  // namespace burdockhill::standins
 
 int main(int argc, char** argv) {
-  const auto settings = burdockhill::standins::ReadSettingsFile(argc, argv);
-  if (!settings.has_value()) return 2;
-  try {
-    return burdockhill::standins::Run(*settings);
-  } catch (const std::exception& error) {
-    std::cerr << "plain stand-in: " << error.what() << "\n";
-    return 1;
-  }
+  return burdockhill::standins::RunStandin(argc, argv,
+                                           burdockhill::standins::Run);
 }
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -2,7 +2,6 @@
 // slowness, lost answers and limited rates on order. The protocol is described
 // in docs/platform-api.md.
 
-#include <iostream>
 #include <list>
 
 #include "burdockhill/src/daemon/stop_signal.h"
@@ -251,7 +250,10 @@
   std::map<std::string, int64_t> m_counts;
 };
 
-int Run(const json& settings) {
+}  // namespace
+
+// Runs until it is told to stop.
+static int Run(const json& settings) {
   const SystemClock clock;
   EventLoop loop;
   WatchStopSignals(&loop);
@@ -264,16 +266,9 @@
   return 0;
 }
 
-}  // namespace
 }  // namespace burdockhill::standins
 
 int main(int argc, char** argv) {
-  const auto settings = burdockhill::standins::ReadSettingsFile(argc, argv);
-  if (!settings.has_value()) return 2;
-  try {
-    return burdockhill::standins::Run(*settings);
-  } catch (const std::exception& error) {
-    std::cerr << "platform stand-in: " << error.what() << "\n";
-    return 1;
-  }
+  return burdockhill::standins::RunStandin(argc, argv,
+                                           burdockhill::standins::Run);
 }
--- a/standins/standin_main.cc
+++ b/standins/standin_main.cc
@@ -8,6 +8,8 @@
 
 using nlohmann::json;
 
+namespace {
+
 std::optional<json> ReadSettingsFile(int argc, char** argv) {
   if (argc != 2) {
     std::cerr << "usage: " << argv[0] << " SETTINGS_FILE\n";
@@ -25,6 +27,19 @@
   return settings;
 }
 
+}  // namespace
+
+int RunStandin(int argc, char** argv, int (*run)(const json&)) {
+  const std::optional<json> settings = ReadSettingsFile(argc, argv);
+  if (!settings.has_value()) return 2;
+  try {
+    return run(*settings);
+  } catch (const std::exception& error) {
+    std::cerr << argv[0] << ": " << error.what() << "\n";
+    return 1;
+  }
+}
+
 void RespondJson(HttpServer* server, ExchangeId id, int status,
                  const json& body) {
   server->Respond(id, status, "application/json", body.dump());
--- a/standins/standin_main.h
+++ b/standins/standin_main.h
@@ -9,9 +9,10 @@
 
 namespace burdockhill::standins {
 
-// Reads the settings file named by the only argument, JSON with comments.
-// Prints what is wrong and returns nullopt when it cannot be read.
-std::optional<nlohmann::json> ReadSettingsFile(int argc, char** argv);
+// Body of a stand-in's main: reads the settings file named by the only
+// argument, JSON with comments, and runs with it. Prints what goes wrong.
+// Returns the exit code.
+int RunStandin(int argc, char** argv, int (*run)(const nlohmann::json&));
 
 // Answers with JSON.
 void RespondJson(HttpServer* server, ExchangeId id, int status,
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -93,6 +93,33 @@
   LONGS_EQUAL(0, world.HeldInEngines().size());
 }
 
+TEST(Failures, CancelThatAnEngineNeverGotIsRepeated) {
+  const auto id = world.SendPrompt(0, "[[seed=1]][[length=3000]]", 3000);
+  world.Run(seconds(1));
+  for (const auto& upstream : world.Upstreams()) {
+    upstream->Faults().loses_cancels = true;
+  }
+  world.Close(*id);
+  world.Run(seconds(2));
+  CHECK(!world.HeldInEngines().empty());
+  for (const auto& upstream : world.Upstreams()) upstream->Faults() = {};
+  world.Run(seconds(2));
+  LONGS_EQUAL(0, world.HeldInEngines().size());
+}
+
+TEST(Failures, OldGenerationNeverReplacesANewerOne) {
+  auto* agent = world.Upstreams()[0]->Core();
+  const burdockhill::Generation newest = agent->Board().in_force;
+  agent->OnMessage(world.Entries()[0]->Self().vm,
+                   burdockhill::ConfigurationOffer{
+                       burdockhill::Generation(newest.Value() + 5), true,
+                       R"({"resources":[]})"});
+  agent->OnMessage(
+      world.Entries()[0]->Self().vm,
+      burdockhill::ConfigurationOffer{newest, true, R"({"resources":[]})"});
+  LONGS_EQUAL(newest.Value() + 5, agent->Board().in_force.Value());
+}
+
 TEST(Failures, CallToAHungServiceEndsAndHoldsNothing) {
   for (const auto& upstream : world.Upstreams()) {
     upstream->Faults().hangs = true;
