Try a stalled prefill or reservation of a resumed answer again

The limit for the first token no longer applies then, and only decodes were watched for stalls. Ruled out: a lost PrefillDone; the agent still counted the prefill as running. Change: reservations and prefills of resumed answers that show no progress for 12 s count as failed. Test: PrefillThatAnEngineNeverGotIsTriedAgain, red before.

--- a/burdockhill/src/entry/deadlines.cc
+++ b/burdockhill/src/entry/deadlines.cc
@@ -9,6 +9,9 @@
 constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
 // Longest time between two tokens of a working engine.
 constexpr Duration kStallTime = std::chrono::seconds(8);
+// Longest time for a reservation or a prefill of an answer that goes on
+// elsewhere; the first token has a limit of its own.
+constexpr Duration kPrepareTime = std::chrono::seconds(12);
 }  // namespace
 
 void Deadlines::Step() {
@@ -31,14 +34,25 @@
     internal::EndWithError(m_board, request, ErrorKind::kTimeout, kPart);
     return;
   }
-  const bool stalls = request->phase == RequestPhase::kDecoding &&
-                      request->decode.has_value() &&
-                      m_board->now - request->progress_at > kStallTime;
-  if (!stalls) return;
-  const Leg* leg = m_board->legs.Find(*request->decode);
+  FailStalledLegs(request);
+}
+
+// A connection may go silent anywhere on the way, also between an agent and its
+// engine, where nobody else would notice.
+void Deadlines::FailStalledLegs(Request* request) {
+  const bool decodes = request->phase == RequestPhase::kDecoding;
+  const Duration limit = decodes ? kStallTime : kPrepareTime;
+  if (m_board->now - request->progress_at <= limit) return;
   request->progress_at = m_board->now;
-  m_board->attempt_ends.push_back(
-      {leg->id, leg->vm, ErrorKind::kUpstreamSilent, true, Duration(0)});
+  for (const AttemptId& id : request->legs) {
+    const Leg* leg = m_board->legs.Find(id);
+    // While the prompt is computed, the decode slot is only waiting.
+    const bool waits = request->phase == RequestPhase::kPrefilling &&
+                       leg->kind == LegKind::kDecode;
+    if (waits) continue;
+    m_board->attempt_ends.push_back(
+        {id, leg->vm, ErrorKind::kUpstreamSilent, true, Duration(0)});
+  }
 }
 
 }  // namespace burdockhill
