Go on dialling an agent of which nothing is heard

The old connection looked open, so neither side dialled again, and the agent stayed unused and behind. In the transport a handshake that never came to an end blocked later ones. Change: a new connection is asked for every 2 s until something is heard; a handshake ends after 2 s. Test: AgentThatWasSilentAndPausedIsReachedAgain, red before.

--- a/burdockhill/src/entry/entry_blackboard.h
+++ b/burdockhill/src/entry/entry_blackboard.h
@@ -111,6 +111,7 @@
   TimePoint last_heard{};
   TimePoint silent_since{};
   TimePoint next_heartbeat{};
+  TimePoint next_dial{};
   std::optional<LoadReport> report;
   // Placed here since the last report, which does not show them yet.
   int64_t decodes_since_report = 0;
--- a/burdockhill/src/entry/membership.cc
+++ b/burdockhill/src/entry/membership.cc
@@ -19,6 +19,8 @@
 constexpr Duration kSilentAfter = std::chrono::seconds(3);
 // After so long without success the attempts at the agent are given up.
 constexpr Duration kLostAfter = std::chrono::seconds(3);
+// Time between tries to reach an agent of which nothing is heard.
+constexpr Duration kRedialInterval = std::chrono::seconds(2);
 // A step that comes so late means that this process was paused.
 constexpr Duration kPauseGap = std::chrono::seconds(1);
 
@@ -166,7 +168,7 @@
     if (quiet > kSilentAfter) {
       view->state = PeerState::kSilent;
       view->silent_since = now;
-      m_peers->Connect(view->vm, view->address);
+      view->next_dial = now;
       return;
     }
     if (quiet > kHeartbeatAfter && now >= view->next_heartbeat) {
@@ -175,6 +177,12 @@
     }
     return;
   }
+  // The old connection may look open for ever, so a new one is asked for until
+  // something is heard.
+  if (now >= view->next_dial) {
+    view->next_dial = now + kRedialInterval;
+    m_peers->Connect(view->vm, view->address);
+  }
   if (view->state == PeerState::kSilent &&
       now - view->silent_since > kLostAfter) {
     view->state = PeerState::kDown;
--- a/burdockhill/src/transport/peer_transport.cc
+++ b/burdockhill/src/transport/peer_transport.cc
@@ -24,6 +24,8 @@
 constexpr size_t kWriteBytes = size_t{64} << 10;
 constexpr size_t kNonceWords = 4;
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
+// A dialled peer that has not proved itself by then is dialled again.
+constexpr Duration kHandshakeTime = std::chrono::seconds(2);
 // A peer that does not read is cut off once this much waits for it.
 constexpr size_t kMaxBacklogBytes = size_t{32} << 20;
 
@@ -50,6 +52,7 @@
   ConnectionId current;
   ConnectionId dialling;
   TimePoint next_dial{};
+  TimePoint dialled_at{};
   std::vector<Message> queue;
 };
 
@@ -117,7 +120,11 @@
     constexpr Duration kDialCheckInterval = std::chrono::milliseconds(50);
     m_next_dial_check = now + kDialCheckInterval;
     std::vector<VmName> due;
+    std::vector<ConnectionId> stuck;
     for (auto& [vm, peer] : m_peers) {
+      if (peer.dialling.IsValid() && now - peer.dialled_at > kHandshakeTime) {
+        stuck.push_back(peer.dialling);
+      }
       const bool wants = peer.address.has_value() && !peer.dialling.IsValid();
       const bool asked = peer.next_dial == TimePoint();
       if (wants && now >= peer.next_dial &&
@@ -125,6 +132,7 @@
         due.push_back(vm);
       }
     }
+    for (const ConnectionId& id : stuck) Kill(id);
     for (const VmName& vm : due) Dial(vm, now);
   }
 
@@ -148,6 +156,7 @@
     connection.dialled = vm;
     Peer* peer = m_peers.Find(vm);
     peer->dialling = id;
+    peer->dialled_at = now;
     peer->next_dial = now + m_random->Jitter(kReconnectDelay);
     const Address address = *peer->address;
     lws_client_connect_info info = {};
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -123,6 +123,20 @@
                view.text.c_str());
 }
 
+TEST(Failures, AgentThatWasSilentAndPausedIsReachedAgain) {
+  auto& agent = *world.Upstreams()[0];
+  for (const auto& entry : world.Entries()) {
+    world.Network().Silence(entry->Self().vm, agent.Self().vm);
+  }
+  agent.Pause();
+  world.Run(seconds(20));
+  agent.Resume();
+  world.Run(seconds(5));
+  for (const auto& entry : world.Entries()) {
+    CHECK(entry->Core()->Board().upstreams.at(agent.Self().vm).IsUsable());
+  }
+}
+
 TEST(Failures, OldGenerationNeverReplacesANewerOne) {
   auto* agent = world.Upstreams()[0]->Core();
   const burdockhill::Generation newest = agent->Board().in_force;
