--- a/emulation/store_fake.cc
+++ b/emulation/store_fake.cc
@@ -97,7 +97,7 @@
       [=, this](uint64_t* version) {
         return m_platform->Model().Put(key, value, expected_version, version);
       },
-      std::move(done));
+      done);
 }
 
 void StoreFake::Delete(const ResourceKey& key, uint64_t expected_version,
@@ -106,7 +106,7 @@
       [=, this](uint64_t* version) {
         return m_platform->Model().Delete(key, expected_version, version);
       },
-      std::move(done));
+      done);
 }
 
 void StoreFake::Watch(const std::vector<std::string>& kinds, uint64_t since,
