Do not touch a peer after its connection was killed

Cause, found on reading: FlushPeer looked at peer->current after Kill, which erases a peer that dialled us, so a write that failed at an agent read freed memory. No test provokes a failing write, so none was red before. Change: one Kill at the end. The check whether a socket can be written to directly stood in HttpServer and PeerTransport; both call internal::CanWriteNow, which stands with the ids kept in connections in wsi_support.h.

--- a/burdockhill/src/transport/http_client.cc
+++ b/burdockhill/src/transport/http_client.cc
@@ -9,8 +9,8 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
-#include "burdockhill/src/transport/opaque_id.h"
 #include "burdockhill/src/transport/vhost_owner.h"
+#include "burdockhill/src/transport/wsi_support.h"
 
 namespace burdockhill {
 
--- a/burdockhill/src/transport/http_server.cc
+++ b/burdockhill/src/transport/http_server.cc
@@ -11,6 +11,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
 #include "burdockhill/src/transport/vhost_owner.h"
+#include "burdockhill/src/transport/wsi_support.h"
 
 namespace burdockhill {
 
@@ -180,8 +181,7 @@
       if (exchange == nullptr) continue;
       // The head and the end of a response need the library's own callback.
       const bool direct = exchange->headers_sent && !exchange->ended &&
-                          lws_partial_buffered(exchange->wsi) == 0 &&
-                          lws_send_pipe_choked(exchange->wsi) == 0;
+                          internal::CanWriteNow(exchange->wsi);
       const bool written = direct && WriteBody(exchange->wsi, exchange);
       if (!written || exchange->Pending() > 0) {
         lws_callback_on_writable(exchange->wsi);
--- a/burdockhill/src/transport/peer_transport.cc
+++ b/burdockhill/src/transport/peer_transport.cc
@@ -12,8 +12,8 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
-#include "burdockhill/src/transport/opaque_id.h"
 #include "burdockhill/src/transport/vhost_owner.h"
+#include "burdockhill/src/transport/wsi_support.h"
 #include "burdockhill/src/wire/peer_session.h"
 
 namespace burdockhill {
@@ -264,12 +264,12 @@
     Write(connection, connection->session.Encode(messages));
     // One wait for I/O less a frame; the callback writes what is left.
     const bool direct = was_empty && connection->wsi != nullptr &&
-                        lws_partial_buffered(connection->wsi) == 0 &&
-                        lws_send_pipe_choked(connection->wsi) == 0;
-    if (direct && !WriteSome(connection)) Kill(peer->current);
-    connection = m_connections.Find(peer->current);
-    if (connection == nullptr) return;
-    if (connection->Pending() > kMaxBacklogBytes) Kill(peer->current);
+                        internal::CanWriteNow(connection->wsi);
+    const bool broken = direct && !WriteSome(connection);
+    // Kill may erase the peer, so nothing of it is used afterwards.
+    if (broken || connection->Pending() > kMaxBacklogBytes) {
+      Kill(peer->current);
+    }
   }
 
   void Write(Connection* connection, std::string bytes) {
--- a/burdockhill/src/transport/opaque_id.h
+++ b/burdockhill/src/transport/wsi_support.h
@@ -1,5 +1,5 @@
-#ifndef BURDOCKHILL_SRC_TRANSPORT_OPAQUE_ID_H_
-#define BURDOCKHILL_SRC_TRANSPORT_OPAQUE_ID_H_
+#ifndef BURDOCKHILL_SRC_TRANSPORT_WSI_SUPPORT_H_
+#define BURDOCKHILL_SRC_TRANSPORT_WSI_SUPPORT_H_
 
 #include <libwebsockets.h>
 
@@ -20,6 +20,12 @@
   return Id(reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi)));
 }
 
+// Whether data may be written outside of the library's writeable callback: the
+// socket has room and nothing of an earlier write is left over.
+inline bool CanWriteNow(lws* wsi) {
+  return lws_partial_buffered(wsi) == 0 && lws_send_pipe_choked(wsi) == 0;
+}
+
 }  // namespace burdockhill::internal
 
-#endif  // BURDOCKHILL_SRC_TRANSPORT_OPAQUE_ID_H_
+#endif  // BURDOCKHILL_SRC_TRANSPORT_WSI_SUPPORT_H_
