Place plain calls by answer times too, and within a share of connections

Cause: an upstream that turns slow without failing keeps its share of calls where few are in flight at a time; the mean answer time was kept and read by nothing. A service's limit of connections was decoded and not kept to. Change: a slow upstream weighs as calls in flight do, forgotten after 3 s so that a real call tries it again; an entry has at most its share of an upstream's connections in flight. Tests: three in routing_test, failed before.

--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -69,10 +69,21 @@
   const TimePoint now = m_board->clock->Now();
   m_board->upstreams.Expire(now);
   m_board->placement.Retain(m_board->upstreams);
+  ShareConnections();
   m_plain->Step();
   m_streams->Step();
 }
 
+void Gateway::ShareConnections() {
+  if (!m_board->routes.HasConfiguration()) return;
+  const auto entries = static_cast<int>(1 + m_board->other_entries);
+  for (const Service& service : m_board->routes.Configuration().services) {
+    if (service.max_connections == 0) continue;
+    m_board->placement.SetMostCalls(
+        service.name, std::max(1, service.max_connections / entries));
+  }
+}
+
 void ConfigurationFeed::OnList(const std::vector<FeedObject>& objects,
                                uint64_t /*revision*/) {
   for (const FeedObject& object : objects) OnChange(object);
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -31,6 +31,9 @@
   void Step();
 
  private:
+  // What an upstream accepts from all entries is divided among them.
+  void ShareConnections();
+
   EntryBoard* m_board;
   PlainRequests* m_plain;
   StreamCalls* m_streams;
--- a/burdockhill/src/routing/plain_placement.cc
+++ b/burdockhill/src/routing/plain_placement.cc
@@ -16,6 +16,12 @@
 constexpr double kOtherZoneCost = 0.5;
 // Calls in flight that a share of one of failing calls weighs as much as.
 constexpr double kTroubleCost = 12.0;
+// Calls in flight that answers of twice the quickest upstream's time weigh as
+// much as, and the most that slowness weighs.
+constexpr double kSlownessCost = 1.0;
+constexpr double kMostSlownessCost = 10.0;
+// Slowness that was seen longer ago may be over.
+constexpr Duration kSlownessMemory = std::chrono::seconds(3);
 // Larger than any sum of the other terms.
 constexpr double kAsideCost = 1e6;
 
@@ -25,7 +31,30 @@
 
 }  // namespace
 
-double PlainPlacement::Cost(const RegisteredUpstream& upstream,
+double PlainPlacement::QuickestOf(
+    const std::vector<const RegisteredUpstream*>& candidates,
+    TimePoint now) const {
+  double quickest = 0;
+  for (const RegisteredUpstream* upstream : candidates) {
+    const auto found = m_evidence.find(upstream->name);
+    if (found == m_evidence.end()) continue;
+    const Evidence& evidence = found->second;
+    if (now - evidence.answered_at > kSlownessMemory) continue;
+    if (quickest == 0 || evidence.seconds < quickest) {
+      quickest = evidence.seconds;
+    }
+  }
+  return quickest;
+}
+
+bool PlainPlacement::IsFull(const RegisteredUpstream& upstream) const {
+  const auto most = m_most_calls.find(upstream.service);
+  if (most == m_most_calls.end() || most->second == 0) return false;
+  const auto found = m_evidence.find(upstream.name);
+  return found != m_evidence.end() && found->second.in_flight >= most->second;
+}
+
+double PlainPlacement::Cost(const RegisteredUpstream& upstream, double quickest,
                             TimePoint now) const {
   const double zone_cost = upstream.zone == m_zone ? 0 : kOtherZoneCost;
   const auto found = m_evidence.find(upstream.name);
@@ -33,6 +62,10 @@
   const Evidence& evidence = found->second;
   double cost =
       zone_cost + evidence.in_flight + kTroubleCost * evidence.trouble;
+  if (quickest > 0 && now - evidence.answered_at <= kSlownessMemory) {
+    cost += std::min(kMostSlownessCost,
+                     kSlownessCost * (evidence.seconds / quickest - 1));
+  }
   if (now < evidence.aside_until) {
     const Duration left = evidence.aside_until - now;
     cost += kAsideCost + static_cast<double>(left.count());
@@ -46,10 +79,12 @@
     Random* random) const {
   const RegisteredUpstream* best = nullptr;
   double best_cost = 0;
+  const double quickest = QuickestOf(candidates, now);
   for (const RegisteredUpstream* upstream : candidates) {
     if (upstream->leaving || excluded.contains(upstream->name)) continue;
+    if (IsFull(*upstream)) continue;
     // The random part spreads equal choices of many entries.
-    const double cost = Cost(*upstream, now) + 0.1 * random->Unit();
+    const double cost = Cost(*upstream, quickest, now) + 0.1 * random->Unit();
     if (best != nullptr && cost >= best_cost) continue;
     best = upstream;
     best_cost = cost;
@@ -71,7 +106,10 @@
   evidence.trouble += kNewestWeight * (wrong - evidence.trouble);
   if (result == CallResult::kAnswered) {
     const double seconds = std::chrono::duration<double>(took).count();
-    evidence.seconds += kNewestWeight * (seconds - evidence.seconds);
+    const bool first = evidence.seconds == 0;
+    evidence.seconds +=
+        (first ? 1 : kNewestWeight) * (seconds - evidence.seconds);
+    evidence.answered_at = now;
     evidence.failures_in_row = 0;
     evidence.aside_time = Duration(0);
     return;
--- a/burdockhill/src/routing/plain_placement.h
+++ b/burdockhill/src/routing/plain_placement.h
@@ -20,9 +20,10 @@
 };
 
 // Chooses upstreams by first-hand evidence: fewest own calls in flight, least
-// trouble, nearest zone. An upstream that keeps failing is set aside for a
-// growing time and tried again with a real call; when all are set aside, the
-// one that comes back first is used.
+// trouble, quickest answers, nearest zone. An upstream that keeps failing is
+// set aside for a growing time and tried again with a real call; when all are
+// set aside, the one that comes back first is used. Slowness is forgotten after
+// a while, so that a slow upstream is tried again too.
 class PlainPlacement {
  public:
   explicit PlainPlacement(ZoneName own_zone) : m_zone(std::move(own_zone)) {}
@@ -33,6 +34,11 @@
       const std::set<UpstreamName>& excluded, TimePoint now,
       Random* random) const;
 
+  // Most calls in flight to each upstream of the service; zero for no limit.
+  void SetMostCalls(const ServiceName& service, int calls) {
+    m_most_calls[service] = calls;
+  }
+
   void NoteStart(const UpstreamName& name);
   void NoteEnd(const UpstreamName& name, CallResult result, Duration took,
                TimePoint now);
@@ -47,13 +53,20 @@
     int failures_in_row = 0;
     double trouble = 0;  // Weighted share of calls that went wrong.
     double seconds = 0;  // Weighted mean time of answered calls.
+    TimePoint answered_at{};
     Duration aside_time{0};
     TimePoint aside_until{};
   };
 
-  double Cost(const RegisteredUpstream& upstream, TimePoint now) const;
+  // `quickest` is the least mean time of the candidates, in seconds, or zero.
+  double Cost(const RegisteredUpstream& upstream, double quickest,
+              TimePoint now) const;
+  double QuickestOf(const std::vector<const RegisteredUpstream*>& candidates,
+                    TimePoint now) const;
+  bool IsFull(const RegisteredUpstream& upstream) const;
 
   ZoneName m_zone;
+  std::unordered_map<ServiceName, int> m_most_calls;
   std::unordered_map<UpstreamName, Evidence> m_evidence;
 };
 
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -137,9 +137,10 @@
     }
     return m_placement.Choose(candidates, excluded, m_now, &m_random);
   }
-  void Play(const std::string& name, CallResult result) {
+  void Play(const std::string& name, CallResult result,
+            Duration took = milliseconds(50)) {
     m_placement.NoteStart(UpstreamName(name));
-    m_placement.NoteEnd(UpstreamName(name), result, milliseconds(50), m_now);
+    m_placement.NoteEnd(UpstreamName(name), result, took, m_now);
   }
 
   TimePoint m_now{seconds(100)};
@@ -181,6 +182,42 @@
   STRCMP_EQUAL("far", Choose()->name.Value().c_str());
 }
 
+TEST(PlainPlacement, ShiftsLoadAwayFromAnUpstreamThatTurnsSlow) {
+  for (int i = 0; i < 30; ++i) {
+    Play("near", CallResult::kAnswered);
+    Play("far", CallResult::kAnswered);
+  }
+  STRCMP_EQUAL("near", Choose()->name.Value().c_str());
+  for (int i = 0; i < 5; ++i) {
+    Play("near", CallResult::kAnswered, milliseconds(400));
+  }
+  STRCMP_EQUAL("far", Choose()->name.Value().c_str());
+}
+
+TEST(PlainPlacement, TriesAnUpstreamAgainThatWasSlowSomeTimeAgo) {
+  for (int i = 0; i < 10; ++i) {
+    Play("near", CallResult::kAnswered, milliseconds(400));
+    Play("far", CallResult::kAnswered);
+  }
+  STRCMP_EQUAL("far", Choose()->name.Value().c_str());
+  m_now += seconds(5);
+  Play("far", CallResult::kAnswered);
+  STRCMP_EQUAL("near", Choose()->name.Value().c_str());
+}
+
+TEST(PlainPlacement, KeepsToItsShareOfAnUpstreamsConnections) {
+  m_placement.SetMostCalls(ServiceName("s"), 2);
+  for (int i = 0; i < 4; ++i) {
+    const RegisteredUpstream* chosen = Choose();
+    CHECK(chosen != nullptr);
+    m_placement.NoteStart(chosen->name);
+  }
+  POINTERS_EQUAL(nullptr, Choose());
+  m_placement.NoteEnd(UpstreamName("far"), CallResult::kAnswered,
+                      milliseconds(50), m_now);
+  STRCMP_EQUAL("far", Choose()->name.Value().c_str());
+}
+
 TEST_GROUP(RetryBudget) {
   TimePoint m_now{seconds(100)};
   ServiceName m_service{"s"};
