Let more urgent routes go first at engines and in line

Cause: a route's priority was decoded and used by nothing. Change: it travels with reservations; one step of priority outweighs a target that is 300 ms earlier, so that the less urgent kind is delayed and not starved. Engines get it as well, in whose order they admit and preempt.

--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -50,6 +50,7 @@
 struct UpstreamCall {
   CallPurpose purpose = CallPurpose::kPlain;
   Duration time_left{0};
+  uint8_t priority = 0;  // Among requests to an engine; 0 is the most urgent.
   std::optional<KvLocation> kv;
   std::optional<int64_t> resume_after;  // Last event that the caller has.
 };
--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -286,11 +286,11 @@
   if (const auto* decode = std::get_if<ReserveDecode>(&message)) {
     m_decode_queue.Ask({decode->attempt, from, decode->prompt,
                         decode->expected_output, now + decode->target_left,
-                        now + decode->wait_budget});
+                        now + decode->wait_budget, decode->priority});
   } else if (const auto* prefill = std::get_if<ReservePrefill>(&message)) {
     m_prefill_queue.Ask({prefill->attempt, from, prefill->prompt, Tokens(0),
-                         now + prefill->target_left,
-                         now + prefill->wait_budget});
+                         now + prefill->target_left, now + prefill->wait_budget,
+                         prefill->priority});
   } else if (const auto* cancel = std::get_if<CancelAttempt>(&message)) {
     m_decode_queue.Withdraw(cancel->attempt);
     m_prefill_queue.Withdraw(cancel->attempt);
--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -158,10 +158,11 @@
   if (need.role == EngineRole::kDecode) {
     m_peers->Send(engine->agent,
                   ReserveDecode{attempt, need.service, RequestClass::kStandard,
-                                need.prompt, need.estimate, wait, target_left});
+                                need.prompt, need.estimate, wait, target_left,
+                                need.priority});
   } else {
-    m_peers->Send(engine->agent,
-                  ReservePrefill{attempt, need.prompt, wait, target_left});
+    m_peers->Send(engine->agent, ReservePrefill{attempt, need.prompt, wait,
+                                                target_left, need.priority});
   }
   engine->asked_since_report += need.prompt + need.estimate;
   pending->asked.insert(name);
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -53,6 +53,7 @@
     Tokens estimate;          // Of the output; zero for prefill.
     Duration wait{0};         // How long to wait for it.
     Duration target_left{0};  // Time in which the target can still be met.
+    uint8_t priority = 0;     // 0 is the most urgent.
     ZoneName near;            // Engines there are preferred.
     // Prefill only: the decode engine that may compute the prompt itself, from
     // `local_after` on or when there is no prefill engine to ask.
@@ -67,9 +68,9 @@
   // Withdraws what was asked for or granted.
   void Release(const AttemptId& attempt);
 
-  // First-hand evidence that an engine fails: it is not asked for a while, which
-  // grows with each failure until the engine answers again. Losing an answer
-  // now and then must not cost the service an engine.
+  // First-hand evidence that an engine fails: it is not asked for a while,
+  // which grows with each failure until the engine answers again. Losing an
+  // answer now and then must not cost the service an engine.
   void NoteTrouble(const UpstreamName& engine);
   void NoteAnswer(const UpstreamName& engine);
   // No connection to it can be made.
@@ -92,7 +93,7 @@
     Tokens asked_since_report;  // Not in the above yet.
     TimePoint avoid_until{};
     Duration avoid_time{0};  // Zero once the engine has answered.
-    EngineLedger fallback;  // For the time without the agent.
+    EngineLedger fallback;   // For the time without the agent.
   };
   struct Pending {
     Need need;
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -20,6 +20,13 @@
 // Largest answer that is held because it is no stream.
 constexpr size_t kMaxAnswerBytes = size_t{1} << 20;
 
+// Priorities that engines and agents tell apart.
+constexpr int kLeastUrgent = 9;
+
+uint8_t PriorityOf(const Route& route) {
+  return static_cast<uint8_t>(std::clamp(route.priority, 0, kLeastUrgent));
+}
+
 }  // namespace
 
 void StreamCalls::Begin(RoutedRequest routed) {
@@ -52,6 +59,7 @@
                 routed.TimeLeft(now));
   need.wait = budget.wait;
   need.target_left = budget.target_left;
+  need.priority = PriorityOf(routed.route);
   need.excluded = stream->avoid_decode;
   need.near = m_board->zone;
   m_reservations->Ask(stream->attempt, need);
@@ -133,6 +141,7 @@
                 now - stream->waiting_since, routed.TimeLeft(now));
   need.wait = budget.wait;
   need.target_left = budget.target_left;
+  need.priority = PriorityOf(routed.route);
   need.excluded = stream->avoid_prefill;
   need.only_local = !allowed;
   // A decode engine takes no late prompts that others could compute.
@@ -157,6 +166,7 @@
   stream->phase = Phase::kPrefilling;
   UpstreamCall call;
   call.purpose = CallPurpose::kPrefill;
+  call.priority = PriorityOf(stream->routed.route);
   call.time_left = stream->routed.TimeLeft(m_board->clock->Now());
   if (!StartCall(stream, *upstream, call)) {
     Reject(stream, Duration(0), "no socket");
@@ -180,6 +190,7 @@
   ++stream->decode_calls;
   UpstreamCall call;
   call.purpose = CallPurpose::kDecode;
+  call.priority = PriorityOf(routed.route);
   call.time_left = routed.TimeLeft(now);
   call.kv = std::exchange(stream->kv, std::nullopt);
   stream->sent_kv = call.kv.has_value();
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -48,6 +48,7 @@
   // After this long the answer misses its latency target; the request then
   // gives way to those that can still meet theirs.
   Duration target_left{0};
+  uint8_t priority = 0;  // 0 is the most urgent.
 };
 
 // Entry to agent: asks for a turn on a prefill engine. The turn is given back
@@ -57,6 +58,7 @@
   Tokens prompt;
   Duration wait_budget{0};
   Duration target_left{0};
+  uint8_t priority = 0;  // 0 is the most urgent.
 };
 
 // Entry to agent: computes the KV cache of a prompt.
--- a/burdockhill/src/routing/reservation_queue.cc
+++ b/burdockhill/src/routing/reservation_queue.cc
@@ -13,15 +13,20 @@
 // Expected waits are too long where runs end early or callers leave; only a
 // wait that is hopeless by this factor is refused before it is over.
 constexpr int kOptimism = 2;
+// How much earlier a target has to be to outweigh one step of priority: a third
+// of the usual target for a first event.
+constexpr Duration kPriorityStep = std::chrono::milliseconds(300);
+
+bool GoesBefore(const Reservation& a, const Reservation& b) {
+  return a.target_by + a.priority * kPriorityStep <
+         b.target_by + b.priority * kPriorityStep;
+}
 
 }  // namespace
 
 void ReservationQueue::Ask(const Reservation& reservation) {
-  const auto place =
-      std::upper_bound(m_waiting.begin(), m_waiting.end(), reservation,
-                       [](const Reservation& a, const Reservation& b) {
-                         return a.target_by < b.target_by;
-                       });
+  const auto place = std::upper_bound(m_waiting.begin(), m_waiting.end(),
+                                      reservation, GoesBefore);
   m_waiting.insert(place, reservation);
 }
 
@@ -41,11 +46,10 @@
     EngineRoom* room, TimePoint now) {
   std::vector<Decision> decisions;
   if (m_waiting.empty()) return decisions;
-  // Requests that have missed their targets stand first; they are served last.
-  const auto on_time =
-      std::find_if(m_waiting.begin(), m_waiting.end(),
-                   [&](const Reservation& r) { return r.target_by > now; });
-  std::rotate(m_waiting.begin(), on_time, m_waiting.end());
+  // Requests that have missed their targets are served last.
+  std::stable_partition(
+      m_waiting.begin(), m_waiting.end(),
+      [&](const Reservation& r) { return r.target_by > now; });
   std::vector<Reservation> still;
   bool blocked = false;
   for (Reservation& reservation : m_waiting) {
@@ -65,10 +69,7 @@
     blocked = true;
     still.push_back(std::move(reservation));
   }
-  std::stable_sort(still.begin(), still.end(),
-                   [](const Reservation& a, const Reservation& b) {
-                     return a.target_by < b.target_by;
-                   });
+  std::stable_sort(still.begin(), still.end(), GoesBefore);
   m_waiting = std::move(still);
   return decisions;
 }
--- a/burdockhill/src/routing/reservation_queue.h
+++ b/burdockhill/src/routing/reservation_queue.h
@@ -17,6 +17,7 @@
   Tokens estimated_output;  // Zero for prefill.
   TimePoint target_by{};    // Later, the request misses its latency target.
   TimePoint give_up_at{};
+  int priority = 0;  // 0 is the most urgent.
 };
 
 // What an engine has room for.
@@ -37,8 +38,10 @@
 //
 // Answers bursts beyond what the engines of a service can serve: requests that
 // can still meet their latency target go first, by that target; those that
-// have missed it are served with what is left over. A request at the head is
-// not overtaken by smaller ones behind it.
+// have missed it are served with what is left over. A more urgent request goes
+// before a less urgent one whose target is not much earlier, so that neither
+// kind starves the other. A request at the head is not overtaken by smaller
+// ones behind it.
 class ReservationQueue {
  public:
   struct Decision {
@@ -60,7 +63,7 @@
   Tokens WaitingPrompts() const;
 
  private:
-  std::vector<Reservation> m_waiting;  // By target.
+  std::vector<Reservation> m_waiting;  // In the order of their turns.
 };
 
 }  // namespace burdockhill
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -68,7 +68,8 @@
     Set(Body::ReserveDecode,
         CreateReserveDecode(b, &a, Text(b, m.service), Number(m.request_class),
                             m.prompt.Value(), m.expected_output.Value(),
-                            m.wait_budget.count(), m.target_left.count()));
+                            m.wait_budget.count(), m.target_left.count(),
+                            m.priority));
   }
   void operator()(const burdockhill::Registrations& m) {
     std::vector<Offset<RelayedObject>> objects;
@@ -84,7 +85,7 @@
     const Attempt a = ToWire(m.attempt);
     Set(Body::ReservePrefill,
         CreateReservePrefill(b, &a, m.prompt.Value(), m.wait_budget.count(),
-                             m.target_left.count()));
+                             m.target_left.count(), m.priority));
   }
   void operator()(const burdockhill::StartPrefill& m) {
     const Attempt a = ToWire(m.attempt);
@@ -242,6 +243,7 @@
   out.expected_output = Tokens(m.expected_output());
   out.wait_budget = Duration(m.wait_budget_us());
   out.target_left = Duration(m.target_left_us());
+  out.priority = m.priority();
   return out;
 }
 
@@ -263,6 +265,7 @@
   out.prompt = Tokens(m.prompt());
   out.wait_budget = Duration(m.wait_budget_us());
   out.target_left = Duration(m.target_left_us());
+  out.priority = m.priority();
   return out;
 }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -100,8 +100,10 @@
   call.purpose = CallPurpose::kDecode;
   call.kv = KvLocation{"10.0.0.8:80", "k1"};
   call.resume_after = 15;
+  call.priority = 2;
   text = m_codec.EncodeCall(*request, Engine(), call);
   STRCMP_CONTAINS("X-Kv-Source: 10.0.0.8:80/k1\r\n", text.c_str());
+  STRCMP_CONTAINS("X-Request-Priority: 2\r\n", text.c_str());
   STRCMP_CONTAINS("Last-Event-Id: 15\r\n", text.c_str());
   CHECK(text.find("Last-Event-Id: 12") == std::string::npos);
   CHECK(text.find("X-Stage") == std::string::npos);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -381,11 +381,12 @@
 }  // namespace
 
 TEST_GROUP(ReservationQueue) {
-  void Ask(uint64_t request, Duration target, Duration wait) {
+  void Ask(uint64_t request, Duration target, Duration wait, int priority = 0) {
     Reservation reservation;
     reservation.attempt = Attempt(request);
     reservation.target_by = m_now + target;
     reservation.give_up_at = m_now + wait;
+    reservation.priority = priority;
     m_queue.Ask(reservation);
   }
   // Requests decided on now: granted as positive, refused as negative ids.
@@ -412,6 +413,20 @@
   CHECK(Decide() == std::vector<int64_t>{1});
 }
 
+TEST(ReservationQueue, AMoreUrgentRequestGoesFirstWhereTargetsAreNear) {
+  Ask(1, milliseconds(400), seconds(2), 1);
+  Ask(2, milliseconds(500), seconds(2), 0);
+  CHECK(Decide() == std::vector<int64_t>{2});
+  m_now += milliseconds(100);
+  CHECK(Decide() == std::vector<int64_t>{1});
+}
+
+TEST(ReservationQueue, AnUrgentRequestDoesNotStarveOthers) {
+  Ask(1, milliseconds(200), seconds(2), 1);
+  Ask(2, milliseconds(900), seconds(2), 0);
+  CHECK(Decide() == std::vector<int64_t>{1});
+}
+
 TEST(ReservationQueue, RequestsPastTheirTargetGiveWay) {
   Ask(1, milliseconds(10), seconds(2));
   m_now += milliseconds(20);
