--- a/burdockhill/src/routing/retry_budget.cc
+++ b/burdockhill/src/routing/retry_budget.cc
@@ -32,8 +32,4 @@
   return true;
 }
 
-void RetryBudget::CountExtra(const ServiceName& service, TimePoint now) {
-  Current(service, now).extra.push_back(now);
-}
-
 }  // namespace burdockhill
--- a/burdockhill/src/routing/retry_budget.h
+++ b/burdockhill/src/routing/retry_budget.h
@@ -27,8 +27,6 @@
   void CountRequest(const ServiceName& service, TimePoint now);
   // Whether one more extra call may be made; if so it is counted.
   bool TrySpend(const ServiceName& service, TimePoint now);
-  // An extra call that happened without having been asked for.
-  void CountExtra(const ServiceName& service, TimePoint now);
 
  private:
   struct Window {
