--- a/bench/common.sh
+++ b/bench/common.sh
@@ -55,7 +55,7 @@
   echo "{\"address\":\"$platform\",\"vms\":[$vms]}" >"$run/platform.json"
   cat >"$run/resources.json" <<END
 {"resources":[{"kind":"ModelService","name":"digest-llm","spec":{}},
- {"kind":"Tenant","name":"adjusters","spec":{"key_sha256":
+ {"kind":"Team","name":"adjusters","spec":{"key_sha256":
   "$(printf demo-adjusters | sha256sum | cut -d' ' -f1)",
   "requests_per_second":100000,"burst":100000,"max_concurrent":100000}}$resources]}
 END
--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -115,7 +115,7 @@
 constexpr char kKey[] =
     "0000000000000000000000000000000000000000000000000000000000000000";
 
-std::string ConfigurationText(size_t upstreams, size_t tenants) {
+std::string ConfigurationText(size_t upstreams, size_t teams) {
   std::vector<ResourceText> resources;
   resources.push_back({{"ModelService", "m"}, "{}"});
   for (size_t i = 0; i < upstreams; ++i) {
@@ -123,11 +123,11 @@
     resources.push_back(
         {{"Upstream", vm}, R"({"service":"m","vm":")" + vm + R"("})"});
   }
-  for (size_t i = 0; i < tenants; ++i) {
+  for (size_t i = 0; i < teams; ++i) {
     std::string key = std::to_string(i);
     key.insert(0, 64 - key.size(), '0');
     resources.push_back(
-        {{"Tenant", "tenant-" + std::to_string(i)},
+        {{"Team", "team-" + std::to_string(i)},
          R"({"key_sha256":")" + key +
              R"(","requests_per_second":1000000,"burst":1000000,)"
              R"("max_concurrent":1000000})"});
@@ -145,7 +145,7 @@
   EntryCore core;
   std::vector<VmName> agents;
 
-  EntryBench(size_t peers, size_t tenants)
+  EntryBench(size_t peers, size_t teams)
       : core({VmName("entry"), ZoneName("z"), RegionName("r"), Incarnation(1)},
              &clock, &random, &link, &store, &callers) {
     for (size_t i = 0; i < peers; ++i) {
@@ -159,7 +159,7 @@
     }
     core.OnMessage(VmName("peer"),
                    ConfigurationOffer{Generation(1), true,
-                                      ConfigurationText(peers, tenants)});
+                                      ConfigurationText(peers, teams)});
     core.Step();
     for (size_t i = 0; i < peers; ++i) {
       Hello hello;
@@ -304,22 +304,22 @@
   bytes.Print("entry: bytes sent a peer", "bytes/s/peer");
 }
 
-void EntryPerTenant() {
+void EntryPerTeam() {
   Line memory;
   Line cpu;
   Line size;
-  for (const size_t tenants : {250, 500, 1000, 2000}) {
+  for (const size_t teams : {250, 500, 1000, 2000}) {
     const double heap = HeapBytes();
     const double start = CpuMicroseconds();
-    EntryBench bench(12, tenants);
-    cpu.Add(static_cast<double>(tenants), CpuMicroseconds() - start);
-    memory.Add(static_cast<double>(tenants), HeapBytes() - heap);
-    size.Add(static_cast<double>(tenants),
-             static_cast<double>(ConfigurationText(12, tenants).size()));
+    EntryBench bench(12, teams);
+    cpu.Add(static_cast<double>(teams), CpuMicroseconds() - start);
+    memory.Add(static_cast<double>(teams), HeapBytes() - heap);
+    size.Add(static_cast<double>(teams),
+             static_cast<double>(ConfigurationText(12, teams).size()));
   }
-  memory.Print("entry: memory a tenant", "bytes/tenant");
-  cpu.Print("entry: processor time a change, a tenant", "us/change/object");
-  size.Print("configuration: text a tenant", "bytes/object");
+  memory.Print("entry: memory a team", "bytes/team");
+  cpu.Print("entry: processor time a change, a team", "us/change/object");
+  size.Print("configuration: text a team", "bytes/object");
 }
 
 void ReportSize() {
@@ -494,7 +494,7 @@
   burdockhill::EntryPerRequest();
   burdockhill::EntryPerToken();
   burdockhill::EntryPerPeer();
-  burdockhill::EntryPerTenant();
+  burdockhill::EntryPerTeam();
   burdockhill::AgentPerRequestAndToken();
   burdockhill::AgentPerPeer();
   burdockhill::WireCosts();
--- a/burdockhill/src/adapters/caller_api.cc
+++ b/burdockhill/src/adapters/caller_api.cc
@@ -178,8 +178,7 @@
 void CallerApi::OnModels(ExchangeId id, const HttpRequest& request) {
   const auto configuration = m_core->Board().configuration;
   if (configuration == nullptr) return Refuse(id, ErrorKind::kNotReady);
-  if (!configuration->tenants_by_key.contains(
-          KeyDigest(request.authorization))) {
+  if (!configuration->teams_by_key.contains(KeyDigest(request.authorization))) {
     return Refuse(id, ErrorKind::kUnauthorized);
   }
   json models = json::array();
--- a/burdockhill/src/base/error_kind.h
+++ b/burdockhill/src/base/error_kind.h
@@ -19,7 +19,7 @@
   kMethodNotAllowed,
   kTooLarge,
   kKeyConflict,
-  kTenantLimit,
+  kTeamLimit,
   kOverloaded,
   kDeadlineInfeasible,
   kNoUpstream,
--- a/burdockhill/src/base/id.h
+++ b/burdockhill/src/base/id.h
@@ -47,7 +47,7 @@
 // An operators' configuration as a whole; it only grows.
 using Generation = NumericId<struct GenerationTag>;
 
-using TenantName = NameId<struct TenantNameTag>;
+using TeamName = NameId<struct TeamNameTag>;
 using ServiceName = NameId<struct ServiceNameTag>;
 using UpstreamName = NameId<struct UpstreamNameTag>;
 using EngineName = NameId<struct EngineNameTag>;
--- a/burdockhill/src/ctl/verbs.cc
+++ b/burdockhill/src/ctl/verbs.cc
@@ -271,7 +271,7 @@
       {"drain", "UPSTREAM [off]",
        "Has an upstream take no new work and finish what it has.", Drain},
       {"metrics", "",
-       "Prints a histogram for each tenant and class; with -o json the text "
+       "Prints a histogram for each team and class; with -o json the text "
        "that the entry exports.",
        Metrics},
   };
--- a/burdockhill/src/entry/admission.cc
+++ b/burdockhill/src/entry/admission.cc
@@ -26,12 +26,12 @@
   };
   if (m_board->leaving) return refuse(ErrorKind::kLeaving);
   if (m_board->configuration == nullptr) return refuse(ErrorKind::kNotReady);
-  const Tenant* tenant = FindTenant(*request);
-  if (tenant == nullptr) return refuse(ErrorKind::kUnauthorized);
-  request->tenant = tenant->name;
-  request->request_class = tenant->request_class;
-  if (!CheckService(request, *tenant)) return;
-  if (!CheckLimits(request, *tenant)) return;
+  const Team* team = FindTeam(*request);
+  if (team == nullptr) return refuse(ErrorKind::kUnauthorized);
+  request->team = team->name;
+  request->request_class = team->request_class;
+  if (!CheckService(request, *team)) return;
+  if (!CheckLimits(request, *team)) return;
 
   const RoutingPolicy& policy =
       m_board->configuration->PolicyFor(request->policy);
@@ -41,24 +41,24 @@
   constexpr double kPercent = 100.0;
   budget.Configure(0.0, kRetryBurst);
   budget.Deposit(static_cast<double>(policy.retry_budget_percent) / kPercent);
-  ++m_board->tenant_use[tenant->name].concurrent;
+  ++m_board->team_use[team->name].concurrent;
   request->counted = true;
   request->phase = RequestPhase::kWaiting;
   m_board->to_place.push_back(request->asked.id);
   internal::Note(m_board, request->asked.id, kPart,
-                 "admitted for tenant " + tenant->name.Value() + ", class " +
+                 "admitted for team " + team->name.Value() + ", class " +
                      std::string(RequestClassName(request->request_class)) +
                      ", service " + request->asked.service.Value());
 }
 
-const Tenant* Admission::FindTenant(const Request& request) const {
+const Team* Admission::FindTeam(const Request& request) const {
   const Configuration& c = *m_board->configuration;
-  const auto name = c.tenants_by_key.find(request.asked.key_sha256);
-  if (name == c.tenants_by_key.end()) return nullptr;
-  return &c.tenants.at(name->second);
+  const auto name = c.teams_by_key.find(request.asked.key_sha256);
+  if (name == c.teams_by_key.end()) return nullptr;
+  return &c.teams.at(name->second);
 }
 
-bool Admission::CheckService(Request* request, const Tenant& tenant) {
+bool Admission::CheckService(Request* request, const Team& team) {
   const auto refuse = [&](ErrorKind kind, const std::string& detail = {}) {
     internal::EndWithError(m_board, request, kind, kPart, detail);
     return false;
@@ -70,11 +70,10 @@
   const bool exists = request->asked.plain ? plain != c.plain_services.end()
                                            : model != c.models.end();
   if (!exists) return refuse(ErrorKind::kNotFound);
-  const bool allowed =
-      std::any_of(tenant.services.begin(), tenant.services.end(),
-                  [&](const std::string& name) {
-                    return name == "*" || name == service.Value();
-                  });
+  const bool allowed = std::any_of(
+      team.services.begin(), team.services.end(), [&](const std::string& name) {
+        return name == "*" || name == service.Value();
+      });
   if (!allowed) return refuse(ErrorKind::kForbidden);
   if (request->asked.plain) {
     request->policy = plain->second.policy;
@@ -100,22 +99,21 @@
   return true;
 }
 
-bool Admission::CheckLimits(Request* request, const Tenant& tenant) {
-  TenantUse& use = m_board->tenant_use[tenant.name];
+bool Admission::CheckLimits(Request* request, const Team& team) {
+  TeamUse& use = m_board->team_use[team.name];
   const auto entries = static_cast<double>(m_board->live_entries);
-  use.rate.Configure(
-      static_cast<double>(tenant.requests_per_second) / entries,
-      std::max(1.0, static_cast<double>(tenant.burst) / entries));
+  use.rate.Configure(static_cast<double>(team.requests_per_second) / entries,
+                     std::max(1.0, static_cast<double>(team.burst) / entries));
   const int64_t share =
-      std::max<int64_t>(1, tenant.max_concurrent / m_board->live_entries);
+      std::max<int64_t>(1, team.max_concurrent / m_board->live_entries);
   if (use.concurrent >= share) {
-    internal::EndWithError(m_board, request, ErrorKind::kTenantLimit, kPart,
+    internal::EndWithError(m_board, request, ErrorKind::kTeamLimit, kPart,
                            "too many requests at a time");
     return false;
   }
   if (!use.rate.Take(m_board->now)) {
     request->retry_after = use.rate.TimeToNext();
-    internal::EndWithError(m_board, request, ErrorKind::kTenantLimit, kPart,
+    internal::EndWithError(m_board, request, ErrorKind::kTeamLimit, kPart,
                            "too many requests a second");
     return false;
   }
--- a/burdockhill/src/entry/admission.h
+++ b/burdockhill/src/entry/admission.h
@@ -6,7 +6,7 @@
 namespace burdockhill {
 
 // Decides on each new request at once: whose it is, whether its service
-// exists, and whether the tenant is within its limits. A tenant's limits hold
+// exists, and whether the team is within its limits. A team's limits hold
 // over all entries; each entry applies an equal share of them.
 class Admission {
  public:
@@ -16,10 +16,10 @@
 
  private:
   void Admit(Request* request);
-  // The tenant whose key the caller showed, or nullptr.
-  const Tenant* FindTenant(const Request& request) const;
-  bool CheckService(Request* request, const Tenant& tenant);
-  bool CheckLimits(Request* request, const Tenant& tenant);
+  // The team whose key the caller showed, or nullptr.
+  const Team* FindTeam(const Request& request) const;
+  bool CheckService(Request* request, const Team& team);
+  bool CheckLimits(Request* request, const Team& team);
 
   EntryBlackboard* m_board;
 };
--- a/burdockhill/src/entry/answering.cc
+++ b/burdockhill/src/entry/answering.cc
@@ -26,7 +26,7 @@
 void Answering::Finish(Request* request) {
   const std::set<AttemptId> legs = request->legs;
   for (const AttemptId& id : legs) internal::ReleaseLeg(m_board, id);
-  if (request->counted) --m_board->tenant_use[request->tenant].concurrent;
+  if (request->counted) --m_board->team_use[request->team].concurrent;
   Measure(*request);
   if (request->caller_gone) return;
   const RequestId id = request->asked.id;
--- a/burdockhill/src/entry/configuration_content.cc
+++ b/burdockhill/src/entry/configuration_content.cc
@@ -18,7 +18,7 @@
   for (ResourceText& resource : ParseResourceFile(text, &errors)) {
     if (resource.key.kind == "RoutingPolicy") {
       policies.push_back(std::move(resource));
-    } else if (resource.key.kind != "Tenant") {
+    } else if (resource.key.kind != "Team") {
       others[resource.key] = std::move(resource);
     }
   }
--- a/burdockhill/src/entry/entry_blackboard.h
+++ b/burdockhill/src/entry/entry_blackboard.h
@@ -46,7 +46,7 @@
 struct Request {
   CallerRequest asked;
   RequestPhase phase = RequestPhase::kArrived;
-  TenantName tenant;
+  TeamName team;
   RequestClass request_class = RequestClass::kStandard;
   PolicyName policy;
   Tokens max_output;
@@ -75,7 +75,7 @@
   std::string delivered_text;  // For going on elsewhere.
   std::optional<RequestEnd> end;
   bool caller_gone = false;
-  bool counted = false;  // In the tenant's concurrent requests.
+  bool counted = false;  // In the team's concurrent requests.
 };
 
 enum class LegKind { kDecode, kPrefill, kCall };
@@ -139,8 +139,8 @@
   Incarnation incarnation;
 };
 
-// What one tenant uses of this entry.
-struct TenantUse {
+// What one team uses of this entry.
+struct TeamUse {
   RateLimit rate;
   int64_t concurrent = 0;
 };
@@ -177,7 +177,7 @@
 
   Table<RequestId, Request> requests;
   Table<AttemptId, Leg> legs;
-  std::map<TenantName, TenantUse> tenant_use;
+  std::map<TeamName, TeamUse> team_use;
   std::map<PolicyName, RateLimit> retry_budgets;
 
   // Facts, each for one controller.
--- a/burdockhill/src/entry/request_steps.cc
+++ b/burdockhill/src/entry/request_steps.cc
@@ -91,7 +91,7 @@
 
 MetricLabels LabelsOf(const Request& request) {
   MetricLabels labels;
-  labels.tenant = request.tenant.Value();
+  labels.team = request.team.Value();
   labels.request_class = RequestClassName(request.request_class);
   return labels;
 }
--- a/burdockhill/src/metrics/metrics_registry.cc
+++ b/burdockhill/src/metrics/metrics_registry.cc
@@ -14,7 +14,7 @@
     if (!text.empty()) text += ',';
     text += std::string(name) + "=\"" + value + "\"";
   };
-  add("tenant", labels.tenant);
+  add("team", labels.team);
   add("class", labels.request_class);
   add("service", labels.service);
   add("kind", labels.kind);
--- a/burdockhill/src/metrics/metrics_registry.h
+++ b/burdockhill/src/metrics/metrics_registry.h
@@ -12,7 +12,7 @@
 
 // What a series is about. Empty parts are left out of the text.
 struct MetricLabels {
-  std::string tenant;
+  std::string team;
   std::string request_class;
   std::string service;
   std::string kind;
--- a/burdockhill/src/resources/configuration.cc
+++ b/burdockhill/src/resources/configuration.cc
@@ -82,8 +82,8 @@
   return out;
 }
 
-Tenant ReadTenant(FieldReader* reader) {
-  Tenant out;
+Team ReadTeam(FieldReader* reader) {
+  Team out;
   out.services = {"*"};
   auto request_class = static_cast<size_t>(out.request_class);
   reader->Read("key_sha256", Need::kRequired, &out.key_sha256);
@@ -143,8 +143,8 @@
         errors);
   } else if (key.kind == "Upstream") {
     Add(&out->upstreams, key.name, ReadUpstream(&reader), path, errors);
-  } else if (key.kind == "Tenant") {
-    Add(&out->tenants, key.name, ReadTenant(&reader), path, errors);
+  } else if (key.kind == "Team") {
+    Add(&out->teams, key.name, ReadTeam(&reader), path, errors);
   } else if (key.kind == "RoutingPolicy") {
     Add(&out->policies, key.name, ReadRoutingPolicy(&reader), path, errors);
   } else {
@@ -195,22 +195,22 @@
       fail("Upstream", name.Value(), "names a VM of another Upstream");
     }
   }
-  for (const auto& [name, tenant] : c.tenants) {
-    for (const std::string& service : tenant.services) {
+  for (const auto& [name, team] : c.teams) {
+    for (const std::string& service : team.services) {
       const ServiceName wanted(service);
       if (service != "*" && !c.models.contains(wanted) &&
           !c.plain_services.contains(wanted)) {
-        fail("Tenant", name.Value(), "names an unknown service " + service);
+        fail("Team", name.Value(), "names an unknown service " + service);
       }
     }
   }
 }
 
-void IndexTenants(Configuration* c, FieldErrors* errors) {
-  for (const auto& [name, tenant] : c->tenants) {
-    if (!c->tenants_by_key.emplace(tenant.key_sha256, name).second) {
+void IndexTeams(Configuration* c, FieldErrors* errors) {
+  for (const auto& [name, team] : c->teams) {
+    if (!c->teams_by_key.emplace(team.key_sha256, name).second) {
       errors->push_back(
-          {"Tenant/" + name.Value(), "has the key of another tenant"});
+          {"Team/" + name.Value(), "has the key of another team"});
     }
   }
 }
@@ -271,7 +271,7 @@
   }
   reader.RefuseUnknown();
   CheckReferences(out, errors);
-  IndexTenants(&out, errors);
+  IndexTeams(&out, errors);
   if (errors->size() > errors_before) return std::nullopt;
   return out;
 }
--- a/burdockhill/src/resources/configuration.h
+++ b/burdockhill/src/resources/configuration.h
@@ -18,8 +18,8 @@
   std::map<ServiceName, ModelService> models;
   std::map<ServiceName, PlainService> plain_services;
   std::map<UpstreamName, Upstream> upstreams;
-  std::map<TenantName, Tenant> tenants;
-  std::map<std::string, TenantName> tenants_by_key;  // By key_sha256.
+  std::map<TeamName, Team> teams;
+  std::map<std::string, TeamName> teams_by_key;  // By key_sha256.
 
   // The policy with `name`, or the defaults where it does not exist.
   const RoutingPolicy& PolicyFor(const PolicyName& name) const;
--- a/burdockhill/src/resources/resource.h
+++ b/burdockhill/src/resources/resource.h
@@ -55,8 +55,8 @@
 };
 
 // A customer: who may call what, and how much.
-struct Tenant {
-  TenantName name;
+struct Team {
+  TeamName name;
   std::string key_sha256;             // Hex digest of the API key.
   std::vector<std::string> services;  // "*" for all.
   RequestClass request_class = RequestClass::kStandard;
@@ -90,7 +90,7 @@
 
 // The kinds that operators write, in the order in which they are applied.
 inline constexpr std::string_view kResourceKinds[] = {
-    "RoutingPolicy", "ModelService", "PlainService", "Upstream", "Tenant"};
+    "RoutingPolicy", "ModelService", "PlainService", "Upstream", "Team"};
 
 }  // namespace burdockhill
 
--- a/emulation/world.cc
+++ b/emulation/world.cc
@@ -96,9 +96,9 @@
                   std::string(R"({"service":")") + (plain ? kPlain : kModel) +
                       R"(","vm":")" + vm + R"("})");
   }
-  WriteResource("Tenant", "shops",
+  WriteResource("Team", "shops",
                 std::string(R"({"key_sha256":")") + kKey + R"(",)" +
-                    m_options.tenant_limits + "}");
+                    m_options.team_limits + "}");
 }
 
 void World::WriteResource(const std::string& kind, const std::string& name,
@@ -142,7 +142,7 @@
           const auto configuration = entry->Core()->Board().configuration;
           if (configuration == nullptr) return false;
           const auto& views = entry->Core()->Board().upstreams;
-          return configuration->tenants.size() == 1 && !views.empty() &&
+          return configuration->teams.size() == 1 && !views.empty() &&
                  std::all_of(views.begin(), views.end(), [](const auto& item) {
                    return item.second.IsUsable() &&
                           !item.second.report->engines.empty() &&
--- a/emulation/world.h
+++ b/emulation/world.h
@@ -26,7 +26,7 @@
   size_t engines_per_runner = 1;
   bool one_region = true;
   standins::EngineOptions engine;  // Of both roles.
-  std::string tenant_limits =
+  std::string team_limits =
       R"("requests_per_second":10000,"burst":10000,"max_concurrent":10000)";
   std::string policy = R"({"first_token_limit_ms":5000})";
 };
--- a/examples/generate.py
+++ b/examples/generate.py
@@ -13,7 +13,7 @@
 RUNNERS_PER_ZONE = ("prefill", "decode", "decode")
 
 
-def deployment(name, base_port, zones, model, plain, tenants, policy):
+def deployment(name, base_port, zones, model, plain, teams, policy):
     root = HERE / name
     root.mkdir(exist_ok=True)
     ports = iter(range(base_port, base_port + 999))
@@ -86,12 +86,12 @@
                      "duplicate_key": {"header": "Idempotency-Key"},
                      "timeout_ms": 10000})]
     resources += [resource("Upstream", vm, spec) for vm, spec in upstreams]
-    for tenant, spec in tenants.items():
-        digest = hashlib.sha256(f"demo-{tenant}".encode()).hexdigest()
-        resources.append(resource("Tenant", tenant,
+    for team, spec in teams.items():
+        digest = hashlib.sha256(f"demo-{team}".encode()).hexdigest()
+        resources.append(resource("Team", team,
                                   {"key_sha256": digest, **spec}))
     write("resources.json", "Resources of the operators. The API key of "
-          "tenant X is demo-X.", {"resources": resources})
+          "team X is demo-X.", {"resources": resources})
 
 
 BUSY = {"requests_per_second": 1000, "burst": 2000, "max_concurrent": 20000}
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -5,20 +5,23 @@
 #include <CppUTest/TestHarness.h>
 
 #include <map>
+#include <utility>
+#include <vector>
 
 #include "burdockhill/src/entry/agent_subset.h"
+#include "burdockhill/src/entry/configuration_coordinator.h"
 #include "burdockhill/src/entry/prefix_directory.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST_GROUP(TenantRate) {
+TEST_GROUP(TeamRate) {
   RateLimit limit;
   TimePoint now{seconds(1)};
 };
 
-TEST(TenantRate, SavesUpToItsBurst) {
+TEST(TeamRate, SavesUpToItsBurst) {
   limit.Configure(10.0, 5.0);
   for (int i = 0; i < 5; ++i) CHECK(limit.Take(now));
   CHECK(!limit.Take(now));
@@ -27,7 +30,7 @@
   CHECK(!limit.Take(now));
 }
 
-TEST(TenantRate, SaysWhenToComeBack) {
+TEST(TeamRate, SaysWhenToComeBack) {
   limit.Configure(10.0, 1.0);
   CHECK(limit.Take(now));
   CHECK(!limit.Take(now));
@@ -113,3 +116,138 @@
   for (const VmName& vm : before) kept += after.count(vm);
   CHECK(kept + 1 >= before.size());
 }
+
+namespace {
+
+// A store whose answers the test gives, when and in the order that it likes.
+class ScriptedStore : public ObjectStore {
+ public:
+  struct Write {
+    ResourceKey key;
+    std::string value;
+    uint64_t expected_version = 0;
+    PutDone done;
+  };
+
+  void Get(const ResourceKey& key, GetDone done) override {
+    reads.emplace_back(key, std::move(done));
+  }
+  void Put(const ResourceKey& key, const std::string& value,
+           uint64_t expected_version, PutDone done) override {
+    writes.push_back({key, value, expected_version, std::move(done)});
+  }
+  void Delete(const ResourceKey& /*key*/, uint64_t /*expected_version*/,
+              PutDone /*done*/) override {}
+  void Watch(const std::vector<std::string>& /*kinds*/, uint64_t /*since*/,
+             WatchDone done) override {
+    watches.push_back(std::move(done));
+  }
+  void ListVms(ListDone /*done*/) override {}
+
+  // The oldest read of `key` that is not answered yet.
+  GetDone TakeRead(const ResourceKey& key) {
+    for (auto it = reads.begin(); it != reads.end(); ++it) {
+      if (it->first != key) continue;
+      GetDone done = std::move(it->second);
+      reads.erase(it);
+      return done;
+    }
+    return nullptr;
+  }
+
+  std::vector<std::pair<ResourceKey, GetDone>> reads;
+  std::vector<Write> writes;
+  std::vector<WatchDone> watches;
+};
+
+class NoPeers : public PeerLink {
+ public:
+  void Connect(const VmName& /*vm*/, const std::string& /*address*/) override {}
+  void Disconnect(const VmName& /*vm*/) override {}
+  void Send(const VmName& /*vm*/, Message /*message*/) override {}
+};
+
+}  // namespace
+
+TEST_GROUP(Coordinator) {
+  void setup() override {
+    m_board.self.vm = VmName("e");
+    m_board.self.incarnation = Incarnation(1);
+    ListedVm self;
+    self.name = m_board.self.vm;
+    m_board.listed_vms = {self};
+  }
+
+  void Step(Duration after) {
+    m_board.now += after;
+    m_coordinator.Step();
+  }
+
+  // Answers the lease's open call, a read or a write.
+  void AnswerLease(StoreStatus status) {
+    if (ObjectStore::GetDone read = m_store.TakeRead(m_lease_key)) {
+      return read(status, StoredObject());
+    }
+    for (auto it = m_store.writes.begin(); it != m_store.writes.end(); ++it) {
+      if (it->key != m_lease_key) continue;
+      const ObjectStore::PutDone done = std::move(it->done);
+      m_store.writes.erase(it);
+      return done(status, ++m_version);
+    }
+  }
+  void TakeLease() {
+    Step(seconds(4));
+    AnswerLease(StoreStatus::kNotFound);
+    AnswerLease(StoreStatus::kOk);
+    Step(milliseconds(1));
+    CHECK(m_coordinator.IsHolder());
+  }
+
+  const ResourceKey m_lease_key{kLeaseKind, "configuration"};
+  uint64_t m_version = 100;
+  Random m_random{1};
+  ScriptedStore m_store;
+  NoPeers m_peers;
+  EntryBlackboard m_board{&m_random};
+  ConfigurationCoordinator m_coordinator{&m_board, &m_peers, &m_store};
+};
+
+TEST(Coordinator, AnswersOfAnEarlierTermDoNotCount) {
+  TakeLease();
+  const auto late = m_store.TakeRead(ConfigurationStateKey());
+  CHECK(late != nullptr);
+  // The lease is lost to a conflict and taken again; the state is read anew.
+  Step(seconds(4));
+  AnswerLease(StoreStatus::kConflict);
+  CHECK_FALSE(m_coordinator.IsHolder());
+  TakeLease();
+  ConfigurationStateObject state;
+  state.accepted = Generation(7);
+  StoredObject object;
+  object.version = 50;
+  object.value = FormatState(state);
+  const auto read = m_store.TakeRead(ConfigurationStateKey());
+  CHECK(read != nullptr);
+  read(StoreStatus::kOk, object);
+  StoredObject content;
+  content.value = ComposeConfiguration({});
+  m_store.TakeRead(ConfigurationContentKey(Generation(7)))(StoreStatus::kOk,
+                                                           content);
+  late(StoreStatus::kNotFound, StoredObject());
+  Step(milliseconds(1));
+  LONGS_EQUAL(1, m_store.watches.size());
+  StoredObject team;
+  team.key = {"RoutingPolicy", "default"};
+  team.version = 60;
+  team.value = R"({"first_token_limit_ms":4000})";
+  m_store.watches.front()(StoreStatus::kOk, {team}, 60);
+  Step(milliseconds(1));
+  for (const auto& write : std::exchange(m_store.writes, {})) {
+    if (write.key == ConfigurationContentKey(Generation(8))) {
+      write.done(StoreStatus::kOk, 61);
+    }
+  }
+  LONGS_EQUAL(1, m_store.writes.size());
+  CHECK(m_store.writes.front().key == ConfigurationStateKey());
+  LONGS_EQUAL(50, m_store.writes.front().expected_version);
+}
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -40,12 +40,12 @@
   const std::string text = metrics.PrometheusText();
   STRCMP_CONTAINS(
       "# TYPE requests_total counter\n"
-      "requests_total{tenant=\"a\",class=\"batch\",kind=\"ok\"} 2\n"
-      "requests_total{tenant=\"b\"",
+      "requests_total{team=\"a\",class=\"batch\",kind=\"ok\"} 2\n"
+      "requests_total{team=\"b\"",
       text.c_str());
-  STRCMP_CONTAINS("wait_seconds_bucket{tenant=\"a\",le=\"0.2\"} 0\n",
+  STRCMP_CONTAINS("wait_seconds_bucket{team=\"a\",le=\"0.2\"} 0\n",
                   text.c_str());
-  STRCMP_CONTAINS("wait_seconds_bucket{tenant=\"a\",le=\"+Inf\"} 1\n",
+  STRCMP_CONTAINS("wait_seconds_bucket{team=\"a\",le=\"+Inf\"} 1\n",
                   text.c_str());
-  STRCMP_CONTAINS("wait_seconds_count{tenant=\"a\"} 1\n", text.c_str());
+  STRCMP_CONTAINS("wait_seconds_count{team=\"a\"} 1\n", text.c_str());
 }
--- a/tests/resources_test.cc
+++ b/tests/resources_test.cc
@@ -118,12 +118,12 @@
 TEST(ConfigurationDocument, ChecksFields) {
   STRCMP_CONTAINS(
       "/resources/0/spec/weight: must be a whole number from 1",
-      ConfigurationErrors(R"({"kind":"Tenant","name":"t","spec":{"weight":0,)"
+      ConfigurationErrors(R"({"kind":"Team","name":"t","spec":{"weight":0,)"
                           R"("key_sha256":")" +
                           std::string(64, 'a') + R"("}})")
           .c_str());
   STRCMP_CONTAINS("must be 64 lower-case hex digits",
-                  ConfigurationErrors(R"({"kind":"Tenant","name":"t",)"
+                  ConfigurationErrors(R"({"kind":"Team","name":"t",)"
                                       R"("spec":{"key_sha256":"XY"}})")
                       .c_str());
   STRCMP_CONTAINS(
