--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -16,18 +16,21 @@
   const ErrorAnswer& answer = AnswerFor(kind);
   const bool not_run = answer.http_status == http::kUnavailable;
   if (retry_after == Duration(0) && not_run) retry_after = answer.retry_after;
+  const bool never_sent = !routed.upstream.IsValid();
   const TimePoint now = board->clock->Now();
   board->log->Write(
       "request_failed",
       {{"request", routed.request.id},
        {"route", routed.route.name.Value()},
        {"service", routed.service.Value()},
+       {"upstream", routed.upstream.Value()},
        {"generation", static_cast<int64_t>(routed.generation.Value())},
        {"status", int64_t{answer.http_status}},
        {"kind", std::string(answer.type)},
        {"reason", std::string(reason)},
-       {"outcome", std::string(OutcomeName(not_run ? Outcome::kNotRun
-                                                   : Outcome::kUnknown))},
+       {"outcome",
+        std::string(OutcomeName(not_run || never_sent ? Outcome::kNotRun
+                                                      : Outcome::kUnknown))},
        {"retry_after_ms", Milliseconds(retry_after)},
        {"age_ms", Milliseconds(now - routed.arrived)}});
   board->metrics.Count("burdockhill_requests_failed_total",
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -49,6 +49,7 @@
   Generation generation;  // Of the configuration that routed it.
   TimePoint arrived{};
   TimePoint answer_by{};
+  UpstreamName upstream;  // Of the latest call, if there was one.
 
   Duration TimeLeft(TimePoint now) const { return answer_by - now; }
 };
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -48,7 +48,7 @@
 
 void PlainRequests::Send(Request* request) {
   const TimePoint now = m_board->clock->Now();
-  const RoutedRequest& routed = request->routed;
+  RoutedRequest& routed = request->routed;
   const RegisteredUpstream* upstream =
       m_board->placement.Choose(m_board->upstreams.Of(routed.service),
                                 request->tried, now, m_board->random);
@@ -59,8 +59,7 @@
   }
   UpstreamCall call;
   call.time_left = routed.TimeLeft(now);
-  request->upstream = upstream->name;
-  request->address = upstream->address;
+  routed.upstream = upstream->name;
   request->tried.insert(upstream->name);
   request->call_started = now;
   request->answer_body.clear();
@@ -85,7 +84,7 @@
     m_board->log->Write("answer_skipped",
                         {{"request", request->routed.request.id},
                          {"answer_to", facts.request_id},
-                         {"upstream", request->upstream.Value()}});
+                         {"upstream", request->routed.upstream.Value()}});
     return false;
   }
   request->answer = head;
@@ -154,7 +153,7 @@
 
 void PlainRequests::NoteEnd(Request* request, CallResult result) {
   const TimePoint now = m_board->clock->Now();
-  m_board->placement.NoteEnd(request->upstream, result,
+  m_board->placement.NoteEnd(request->routed.upstream, result,
                              now - request->call_started, now);
 }
 
@@ -188,7 +187,7 @@
   if (again) {
     m_board->log->Write("request_retried",
                         {{"request", routed.request.id},
-                         {"upstream", request->upstream.Value()},
+                         {"upstream", request->routed.upstream.Value()},
                          {"reason", std::string(reason)}});
     return Send(request);
   }
@@ -232,7 +231,7 @@
                                std::string_view reason) {
   m_board->log->Write("answer_dropped",
                       {{"request", request.routed.request.id},
-                       {"upstream", request.upstream.Value()},
+                       {"upstream", request.routed.upstream.Value()},
                        {"caller_gone", request.caller_gone_at.has_value()},
                        {"reason", std::string(reason)}});
   m_board->server->Abort(request.routed.exchange);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -30,8 +30,6 @@
   struct Request {
     RoutedRequest routed;
     http::CallId call;
-    UpstreamName upstream;
-    std::string address;
     TimePoint call_started{};
     std::set<UpstreamName> tried;
     int runs = 0;            // Upstreams that may have run the request.
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -113,6 +113,7 @@
   stream->answer = http::Head();
   stream->answer_body.clear();
   stream->passing = false;
+  stream->routed.upstream = upstream.name;
   stream->call = m_board->pool->Start(
       upstream.address,
       m_board->codec->EncodeCall(stream->routed.request, upstream, call), this,
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -267,6 +267,17 @@
   LONGS_EQUAL(0, m_sockets.AllOutgoing().size());
 }
 
+TEST(Gateway, TheLogOfAFailureNamesTheUpstreamAndWhetherItMayHaveRun) {
+  Call("/once/x");
+  const bool first = m_sockets.To(kPlainOne).size() == 1;
+  m_sockets.Break(AnyPlain());
+  STRCMP_EQUAL(first ? "p1" : "p2", m_log.last["upstream"].c_str());
+  STRCMP_EQUAL("unknown", m_log.last["outcome"].c_str());
+  Call("/nowhere/");
+  STRCMP_EQUAL("", m_log.last["upstream"].c_str());
+  STRCMP_EQUAL("not_run", m_log.last["outcome"].c_str());
+}
+
 TEST(Gateway, ACallThatNeverLeftIsTriedElsewhere) {
   const SocketId caller = Call("/once/x");
   m_sockets.Break(m_sockets.AllOutgoing().front());  // Refused connection.
--- a/tests/gateway_test_support.h
+++ b/tests/gateway_test_support.h
@@ -5,8 +5,10 @@
 // and short ways to write upstreams and answers.
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "burdockhill/gateway.h"
@@ -15,13 +17,18 @@
 
 class SilentLog : public EventLog {
  public:
-  void Write(std::string_view event, LogFields /*fields*/) override {
+  void Write(std::string_view event, LogFields fields) override {
     events.emplace_back(event);
+    for (const auto& field : fields) {
+      const auto* text = std::get_if<std::string>(&field.second);
+      if (text != nullptr) last[std::string(field.first)] = *text;
+    }
   }
   size_t Count(std::string_view event) const {
     return static_cast<size_t>(std::count(events.begin(), events.end(), event));
   }
   std::vector<std::string> events;
+  std::map<std::string, std::string> last;  // Latest text of each field.
 };
 
 // Agents that the test plays.
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -205,6 +205,86 @@
   STRCMP_EQUAL("near", Choose()->name.Value().c_str());
 }
 
+namespace {
+
+// Six entries that share three upstreams of a plain service. Answers take 60
+// ms, failures 2 ms.
+class PlainLoad {
+ public:
+  struct Result {
+    int asked = 0;
+    int failed = 0;
+    int most_in_flight = 0;  // At one upstream, from all entries.
+  };
+
+  // `broken` fails this share of its calls.
+  Result Play(double per_second, Duration time, double failing_share) {
+    std::vector<PlainPlacement> entries(6, PlainPlacement(ZoneName("z")));
+    std::vector<RegisteredUpstream> upstreams = {
+        MakeUpstream("a", "z"), MakeUpstream("b", "z"), MakeUpstream("c", "z")};
+    std::vector<const RegisteredUpstream*> candidates;
+    for (const auto& upstream : upstreams) candidates.push_back(&upstream);
+    struct Call {
+      size_t entry;
+      const RegisteredUpstream* upstream;
+      TimePoint started, ends;
+      CallResult result;
+    };
+    std::vector<Call> calls;
+    Result result;
+    const TimePoint start(seconds(100));
+    for (TimePoint now = start; now < start + time; now += milliseconds(2)) {
+      std::map<UpstreamName, int> in_flight;
+      std::erase_if(calls, [&](const Call& call) {
+        if (call.ends > now) {
+          ++in_flight[call.upstream->name];
+          return false;
+        }
+        entries[call.entry].NoteEnd(call.upstream->name, call.result,
+                                    now - call.started, now);
+        return true;
+      });
+      for (const auto& [name, count] : in_flight) {
+        result.most_in_flight = std::max(result.most_in_flight, count);
+      }
+      const double passed = std::chrono::duration<double>(now - start).count();
+      while (result.asked < passed * per_second) {
+        ++result.asked;
+        const size_t entry = m_random.Below(entries.size());
+        const RegisteredUpstream* chosen =
+            entries[entry].Choose(candidates, {}, now, &m_random);
+        entries[entry].NoteStart(chosen->name);
+        const bool fails =
+            chosen == &upstreams.front() && m_random.Unit() < failing_share;
+        result.failed += fails ? 1 : 0;
+        calls.push_back({entry, chosen, now,
+                         now + (fails ? milliseconds(2) : milliseconds(60)),
+                         fails ? CallResult::kFailed : CallResult::kAnswered});
+      }
+    }
+    return result;
+  }
+
+ private:
+  Random m_random{7};
+};
+
+}  // namespace
+
+// A runner that breaks off four calls in ten, also those that cannot be
+// repeated, while its registration stays. Each entry should lose few calls to
+// it until it knows, and few to find out whether it is well again.
+TEST(PlainPlacement, SixEntriesLoseFewCallsToAFailingUpstream) {
+  const PlainLoad::Result result = PlainLoad().Play(64, seconds(8), 0.4);
+  CHECK(result.failed * 100 <= 4 * result.asked);
+}
+
+// A lost answer now and then must not send a burst to the others alone.
+TEST(PlainPlacement, AFewLostAnswersLeaveTheLoadSpread) {
+  const PlainLoad::Result result = PlainLoad().Play(180, seconds(8), 0.03);
+  CHECK(result.most_in_flight <= 8);
+}
+
 TEST(PlainPlacement, KeepsToItsShareOfAnUpstreamsConnections) {
   m_placement.SetMostCalls(ServiceName("s"), 2);
   for (int i = 0; i < 4; ++i) {
