--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -1,20 +1,25 @@
 #include "soak/fault_proxy.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockhill::soak {
 
-FaultProxy::FaultProxy(Sockets* sockets, const std::string& address,
+FaultProxy::FaultProxy(Sockets* sockets, emulation::EventQueue* queue,
+                       const Clock* clock, const std::string& address,
                        const std::string& target)
-    : m_sockets(sockets), m_target(*ParseAddress(target)) {
+    : m_sockets(sockets),
+      m_queue(queue),
+      m_clock(clock),
+      m_target(*ParseAddress(target)) {
   m_sockets->Listen(*ParseAddress(address), this);
 }
 
 SocketEvents* FaultProxy::OnAccepted(SocketId id) {
   const SocketId target = m_sockets->Connect(m_target, this);
   if (!target.IsValid()) return nullptr;
-  m_ends.FindOrInsert(id) = {target, false, true, "", false};
-  m_ends.FindOrInsert(target) = {id, true, false, "", false};
+  m_ends.FindOrInsert(id) = {target, false, true, "", false, {}};
+  m_ends.FindOrInsert(target) = {id, true, false, "", false, {}};
   return this;
 }
 
@@ -32,6 +37,17 @@
                          (m_fault == Fault::kSilenceAnswers && end->to_target);
   end->silent = end->silent || swallowed;
   if (end->silent) return;
+  const TimePoint now = m_clock->Now();
+  const TimePoint at = std::max(now + m_delay, end->pass_on_at);
+  if (at <= now) return PassOn(id, bytes);
+  end->pass_on_at = at;
+  m_queue->After(at - now,
+                 [this, id, text = std::string(bytes)] { PassOn(id, text); });
+}
+
+void FaultProxy::PassOn(SocketId id, std::string_view bytes) {
+  const End* end = m_ends.Find(id);
+  if (end == nullptr || end->silent) return;
   End* other = m_ends.Find(end->other);
   if (other == nullptr) return;
   if (!other->connected) {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -6,6 +6,7 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/sockets.h"
+#include "emulation/event_queue.h"
 
 namespace burdockhill::soak {
 
@@ -18,10 +19,12 @@
     kSilenceAnswers  // Swallows what comes back.
   };
 
-  FaultProxy(Sockets* sockets, const std::string& address,
-             const std::string& target);
+  FaultProxy(Sockets* sockets, emulation::EventQueue* queue, const Clock* clock,
+             const std::string& address, const std::string& target);
 
   void SetFault(Fault fault) { m_fault = fault; }
+  // Bytes arrive this much later, in their order.
+  void SetDelay(Duration delay) { m_delay = delay; }
   // Resets all connections there are.
   void ResetAll();
 
@@ -33,6 +36,7 @@
     std::string early;  // Came before the target was connected.
     // Bytes were swallowed: a connection that lost some stays silent for good.
     bool silent = false;
+    TimePoint pass_on_at{};  // The latest bytes, where they are delayed.
   };
 
   SocketEvents* OnAccepted(SocketId id) override;
@@ -40,11 +44,16 @@
   void OnBytes(SocketId id, std::string_view bytes) override;
   void OnEndOfInput(SocketId id) override;
   void OnFailed(SocketId id) override;
+  // Hands bytes that came from `id` to the other end.
+  void PassOn(SocketId id, std::string_view bytes);
   void Drop(SocketId id, bool reset);
 
   Sockets* m_sockets;
+  emulation::EventQueue* m_queue;
+  const Clock* m_clock;
   Address m_target;
   Fault m_fault = Fault::kNone;
+  Duration m_delay{0};
   Table<SocketId, End> m_ends;
 };
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -34,6 +34,8 @@
 constexpr int kPlain = 2;
 // Longer than any request's timeout, so that everything has ended by then.
 constexpr Duration kQuietEnd = std::chrono::seconds(8);
+// By then entries have found the store again and have the configuration.
+constexpr Duration kSettleTime = std::chrono::seconds(5);
 constexpr double kRequestsPerSecond = 12;
 
 std::string EntryAddress(int i) {
@@ -91,6 +93,7 @@
   bool ended = false;
   bool failed = false;
   bool left = false;
+  bool newest = false;  // Asked at rest, on the newest route.
   std::string body;
 };
 
@@ -99,14 +102,22 @@
   Soak()
       : m_random(absl::GetFlag(FLAGS_seed)),
         m_store(&m_sockets, &m_clock, "127.0.0.1:7900") {
+    ChangeConfiguration();
+    for (int i = 0; i < kEngines; ++i) AddEngine(i);
+    for (int i = 0; i < kPlain; ++i) AddPlain(i);
+  }
+
+  // Each version has a route of its own besides the lasting ones.
+  void ChangeConfiguration() {
+    ++m_version;
     json services = json::array();
     services.push_back({{"name", "llm"},
                         {"maxConns", 300},
                         {"engine", {{"slots", 64}, {"kvTokens", 100000}}}});
     services.push_back({{"name", "plain"}, {"maxConns", 300}});
     json routes = json::array();
-    const auto add = [&](const char* path, const char* kind, bool resumable,
-                         const char* service) {
+    const auto add = [&](const std::string& path, const char* kind,
+                         bool resumable, const char* service) {
       routes.push_back({{"name", path},
                         {"host", "h"},
                         {"pathPrefix", path},
@@ -122,10 +133,10 @@
     add("/safe/", "safe", false, "plain");
     add("/stream/", "streaming", false, "llm");
     add("/resume/", "streaming", true, "llm");
-    m_store.Put("config", "main",
-                {{"version", 1}, {"routes", routes}, {"services", services}});
-    for (int i = 0; i < kEngines; ++i) AddEngine(i);
-    for (int i = 0; i < kPlain; ++i) AddPlain(i);
+    add(NewestPath(), "safe", false, "plain");
+    m_store.Put(
+        "config", "main",
+        {{"version", m_version}, {"routes", routes}, {"services", services}});
   }
 
   int Run() {
@@ -138,6 +149,10 @@
     }
     Heal();
     const TimePoint healed = m_real.Now();
+    while (m_real.Now() - healed < kSettleTime) Turn();
+    for (int i = 0; i < absl::GetFlag(FLAGS_entries); ++i) {
+      Send(Kind::kSafe, NewestPath(), i);
+    }
     while (m_real.Now() - healed < kQuietEnd) Turn();
     return Check();
   }
@@ -151,7 +166,7 @@
     m_engines.push_back(std::make_unique<ModelRunnerFake>(
         options, &m_sockets, &m_queue, &m_clock, &m_handles, &m_counts));
     m_proxies.push_back(std::make_unique<FaultProxy>(
-        &m_sockets, EngineHost(i) + ":8080", inner));
+        &m_sockets, &m_queue, &m_clock, EngineHost(i) + ":8080", inner));
     Register("e" + std::to_string(i), "llm", EngineHost(i), "ready",
              i == 0 ? "prefill" : "decode");
   }
@@ -161,7 +176,7 @@
     m_plain.push_back(std::make_unique<PlainRunnerFake>(
         inner, &m_sockets, &m_queue, &m_clock, &m_counts));
     m_proxies.push_back(std::make_unique<FaultProxy>(
-        &m_sockets, PlainHost(i) + ":8080", inner));
+        &m_sockets, &m_queue, &m_clock, PlainHost(i) + ":8080", inner));
     Register("p" + std::to_string(i), "plain", PlainHost(i), "ready", "");
   }
 
@@ -191,23 +206,31 @@
         std::chrono::duration<double>(passed).count() * kRequestsPerSecond;
     while (static_cast<double>(m_callers.size()) < due) {
       const auto kind = static_cast<Kind>(m_random.Below(4));
-      const std::string id = "r" + std::to_string(m_callers.size());
-      auto caller = std::make_unique<Caller>(kind, id);
       const auto entry = static_cast<int>(
           m_random.Below(static_cast<uint64_t>(absl::GetFlag(FLAGS_entries))));
-      caller->call = m_pool.Start(
-          EntryAddress(entry),
-          std::string("POST ") + kPaths[static_cast<int>(kind)] +
-              "x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
-              "\r\nX-Token-Counts: 3000,2000\r\nX-Length-Hint: 1200"
-              "\r\nX-True-Length: 1220\r\nX-Deadline-Ms: 6000"
-              "\r\nContent-Length: 2\r\n\r\nhi",
-          caller.get(), {});
-      m_callers.push_back(std::move(caller));
+      Send(kind, kPaths[static_cast<int>(kind)], entry);
       LeaveSometimes();
     }
   }
 
+  void Send(Kind kind, const std::string& path, int entry) {
+    const std::string id = "r" + std::to_string(m_callers.size());
+    auto caller = std::make_unique<Caller>(kind, id);
+    caller->newest = path == NewestPath();
+    caller->call = m_pool.Start(
+        EntryAddress(entry),
+        "POST " + path + "x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+            "\r\nX-Token-Counts: 3000,2000\r\nX-Length-Hint: 1200"
+            "\r\nX-True-Length: 1220\r\nX-Deadline-Ms: 6000"
+            "\r\nContent-Length: 2\r\n\r\nhi",
+        caller.get(), {});
+    m_callers.push_back(std::move(caller));
+  }
+
+  std::string NewestPath() const {
+    return "/version-" + std::to_string(m_version) + "/";
+  }
+
   void LeaveSometimes() {
     if (m_random.Below(12) != 0) return;
     Caller& caller = *m_callers[m_random.Below(m_callers.size())];
@@ -220,7 +243,7 @@
   void Harm() {
     if (m_random.Below(80) != 0) return;
     FaultProxy& proxy = *m_proxies[m_random.Below(m_proxies.size())];
-    switch (m_random.Below(9)) {
+    switch (m_random.Below(12)) {
       case 0:
         return proxy.ResetAll();
       case 1:
@@ -236,6 +259,10 @@
       case 6:
         return Register("p0", "plain", PlainHost(0),
                         m_random.Below(2) == 0 ? "draining" : "ready", "");
+      case 7:
+        return proxy.SetDelay(std::chrono::milliseconds(m_random.Below(400)));
+      case 8:
+        return ChangeConfiguration();
       default:
         return Heal();
     }
@@ -244,6 +271,7 @@
   void Heal() {
     for (const auto& proxy : m_proxies) {
       proxy->SetFault(FaultProxy::Fault::kNone);
+      proxy->SetDelay(Duration(0));
     }
     m_store.SetOutage(Store::Outage::kNone);
     Register("p0", "plain", PlainHost(0), "ready", "");
@@ -281,6 +309,9 @@
       }
     }
     if (!caller.ended && !caller.failed) Complain(caller, "never answered");
+    if (caller.newest && caller.status != http::kOk) {
+      Complain(caller, "the newest configuration is not in force at rest");
+    }
   }
 
   int Check() {
@@ -312,6 +343,7 @@
   emulation::KvHandles m_handles;
   emulation::RunnerCounts m_counts;
   Store m_store;
+  uint64_t m_version = 0;
   std::vector<std::unique_ptr<ModelRunnerFake>> m_engines;
   std::vector<std::unique_ptr<PlainRunnerFake>> m_plain;
   std::vector<std::unique_ptr<FaultProxy>> m_proxies;
--- a/tests/entry_test.cc
+++ b/tests/entry_test.cc
@@ -10,6 +10,7 @@
 
 #include "burdockhill/src/entry/agent_subset.h"
 #include "burdockhill/src/entry/configuration_coordinator.h"
+#include "burdockhill/src/entry/entry_configuration.h"
 #include "burdockhill/src/entry/prefix_directory.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
@@ -160,11 +161,14 @@
   std::vector<WatchDone> watches;
 };
 
-class NoPeers : public PeerLink {
+class RecordingPeers : public PeerLink {
  public:
   void Connect(const VmName& /*vm*/, const std::string& /*address*/) override {}
   void Disconnect(const VmName& /*vm*/) override {}
-  void Send(const VmName& /*vm*/, Message /*message*/) override {}
+  void Send(const VmName& vm, Message message) override {
+    sent.emplace_back(vm, std::move(message));
+  }
+  std::vector<std::pair<VmName, Message>> sent;
 };
 
 }  // namespace
@@ -207,7 +211,7 @@
   uint64_t m_version = 100;
   Random m_random{1};
   ScriptedStore m_store;
-  NoPeers m_peers;
+  RecordingPeers m_peers;
   EntryBlackboard m_board{&m_random};
   ConfigurationCoordinator m_coordinator{&m_board, &m_peers, &m_store};
 };
@@ -251,3 +255,32 @@
   CHECK(m_store.writes.front().key == ConfigurationStateKey());
   LONGS_EQUAL(50, m_store.writes.front().expected_version);
 }
+
+TEST_GROUP(EntryConfiguration){};
+
+// An offer that was lost on the way is made again with the next load report.
+TEST(EntryConfiguration, AnAgentThatIsBehindIsOfferedTheConfigurationAgain) {
+  Random random(1);
+  ScriptedStore store;
+  RecordingPeers peers;
+  EntryBlackboard board(&random);
+  board.in_force = Generation(5);
+  board.staged = Generation(5);
+  board.in_force_content =
+      ConfigurationContent::Parse(ComposeConfiguration({}));
+  burdockhill::EntryConfiguration configuration(&board, &peers, &store);
+  LoadReport report;
+  report.in_force = Generation(4);
+  report.staged = Generation(5);
+  for (size_t reports = 1; reports <= 2; ++reports) {
+    configuration.OnLoadReport(VmName("a"), report);
+    LONGS_EQUAL(reports, peers.sent.size());
+    const auto* offer =
+        std::get_if<ConfigurationOffer>(&peers.sent.back().second);
+    CHECK(offer != nullptr);
+    LONGS_EQUAL(5, offer->generation.Value());
+  }
+  report.in_force = Generation(5);
+  configuration.OnLoadReport(VmName("a"), report);
+  LONGS_EQUAL(2, peers.sent.size());
+}
