Free KV cache that a decode engine never got

Cause: a decode call that was never sent had taken the KV cache out of the stream's hands, so nothing freed it until it lapsed. Test: gateway_test, both roads; the second failed before.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -194,7 +194,7 @@
   call.priority = PriorityOf(routed.route);
   call.time_left = routed.TimeLeft(now);
   call.kv = std::exchange(stream->kv, std::nullopt);
-  stream->sent_kv = call.kv.has_value();
+  stream->kv_in_call = call.kv;
   const int64_t last = LastEvent(*stream);
   if (last > 0) call.resume_after = last;
   stream->prefilled_at = now;
@@ -317,8 +317,9 @@
   const AnswerFacts facts = m_board->codec->DecodeFacts(stream->answer);
   const RoutedRequest& routed = stream->routed;
   if (facts.not_run) {
-    return stream->sent_kv ? OnKvLost(stream)
-                           : OnDecodeRejected(stream, "engine rejected it");
+    return stream->kv_in_call.has_value()
+               ? OnKvLost(stream)
+               : OnDecodeRejected(stream, "engine rejected it");
   }
   if (stream->passing) {
     m_board->server->WriteStream(routed.exchange, stream->events.TakeRest());
@@ -385,6 +386,7 @@
   }
   if (not_sent) {
     m_reservations->NoteUnreachable(stream->decode);
+    stream->kv = std::exchange(stream->kv_in_call, std::nullopt);
     return OnDecodeRejected(stream, "no connection");
   }
   m_reservations->NoteTrouble(stream->decode);
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -50,7 +50,7 @@
     TimePoint call_started{};
     std::set<UpstreamName> avoid_decode;
     std::set<UpstreamName> avoid_prefill;
-    bool sent_kv = false;  // With the current decode call.
+    std::optional<KvLocation> kv_in_call;  // Named in the current decode call.
     int prefill_calls = 0;
     int decode_calls = 0;
     bool may_have_run = false;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -511,6 +511,39 @@
   CHECK(m_sockets.At(caller).open);
 }
 
+TEST(Gateway, KvCacheIsFreedWhereTheDecodeEngineCannotTakeIt) {
+  for (const bool leaves : {true, false}) {
+    Call("/stream/x");
+    CHECK(Grant<ReserveDecode>());
+    CHECK(Grant<ReservePrefill>());
+    const SocketId prefill = Upstreams(kPrefill);
+    m_sockets.Take(prefill);
+    if (leaves) {
+      for (const char* name : {"e1", "e2"}) {
+        RegisteredUpstream engine = *m_board.upstreams.Find(UpstreamName(name));
+        engine.leaving = true;
+        engine.revision = 2;
+        m_board.upstreams.ApplyUpdate(engine);
+      }
+    }
+    m_sockets.Arrive(
+        prefill, Answer(200, "X-Request-Id: r1\r\n", R"({"kvHandle":"k"})"));
+    if (!leaves) {
+      for (const char* address : {kDecodeOne, kDecodeTwo}) {
+        for (const SocketId id : m_sockets.To(address)) m_sockets.Break(id);
+      }
+    }
+    STRCMP_CONTAINS("DELETE /-/kv-handle/k", m_sockets.Take(prefill).c_str());
+    m_sockets.Break(prefill);
+    for (const char* name : {"e1", "e2"}) {
+      RegisteredUpstream engine = *m_board.upstreams.Find(UpstreamName(name));
+      engine.leaving = false;
+      engine.revision = 3;
+      m_board.upstreams.ApplyUpdate(engine);
+    }
+  }
+}
+
 TEST(Gateway, PrefillEnginesOutOfServiceAreDoneWithout) {
   Call("/stream/x");
   CHECK(Grant<ReserveDecode>());
