Bar requests that crash their upstreams; the soak waits for entries that stop

Cause: a request that ends every upstream that runs it was tried wherever it came next; nothing remembered it. One whole answer clears it. Without crashes nothing is hashed.

--- a/burdockhill/routing.h
+++ b/burdockhill/routing.h
@@ -5,6 +5,7 @@
 // the upstreams known, which of them to take, how much memory an engine still
 // has, when to retry and when to refuse.
 
+#include "burdockhill/src/routing/crash_record.h"         // IWYU pragma: export
 #include "burdockhill/src/routing/engine_ledger.h"        // IWYU pragma: export
 #include "burdockhill/src/routing/engine_rooms.h"         // IWYU pragma: export
 #include "burdockhill/src/routing/output_length_model.h"  // IWYU pragma: export
--- a/burdockhill/src/base/error_kind.h
+++ b/burdockhill/src/base/error_kind.h
@@ -25,6 +25,7 @@
   kNoUpstream,
   kNotReady,
   kLeaving,
+  kBarred,
   kUpstreamRefused,
   kKvGone,
   kUpstreamFailed,
--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -153,8 +153,9 @@
                              &common.log);
   PeerRelay relay({settings.vm, settings.seeds, settings.peer_port,
                    platform::kConfigurationName},
-                  &board.routes, &board.upstreams, &common.peers, &common.clock,
-                  &common.log, &configuration_feed, &upstream_feed);
+                  &board.routes, &board.upstreams, &board.crashes,
+                  &common.peers, &common.clock, &common.log,
+                  &configuration_feed, &upstream_feed);
   EntryPeers entry_peers(&reservations, &relay);
   common.peers.SetEvents(&entry_peers);
   RelayedConfigurations relayed_configurations(&configuration_feed, &relay);
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -7,6 +7,7 @@
 #include "burdockhill/src/http/connection_pool.h"
 #include "burdockhill/src/http/server.h"
 #include "burdockhill/src/metrics/metrics_registry.h"
+#include "burdockhill/src/routing/crash_record.h"
 #include "burdockhill/src/routing/plain_placement.h"
 #include "burdockhill/src/routing/retry_budget.h"
 #include "burdockhill/src/routing/route_table.h"
@@ -24,6 +25,7 @@
   RouteTable routes;
   UpstreamDirectory upstreams;
   RetryBudget retries;
+  CrashRecord crashes;
   PlainPlacement placement;
   MetricsRegistry metrics;
   bool leaving = false;
@@ -52,6 +54,10 @@
   UpstreamName upstream;  // Of the latest call, if there was one.
 
   Duration TimeLeft(TimePoint now) const { return answer_by - now; }
+  RequestFingerprint Fingerprint() const {
+    return FingerprintOf(request.head.method, request.host, request.head.target,
+                         request.body);
+  }
 };
 
 // Labels of a series about one service.
--- a/burdockhill/src/gateway/peer_relay.cc
+++ b/burdockhill/src/gateway/peer_relay.cc
@@ -12,15 +12,20 @@
 constexpr Duration kStoreTime = std::chrono::milliseconds(700);
 constexpr Duration kRequestInterval = std::chrono::milliseconds(500);
 
+CrashNotice NoticeOf(const UpstreamCrash& crash) {
+  return {crash.request.Value(), crash.upstream};
+}
+
 }  // namespace
 
 PeerRelay::PeerRelay(const Options& options, const RouteTable* routes,
-                     const UpstreamDirectory* upstreams, PeerLink* peers,
-                     const Clock* clock, EventLog* log,
+                     const UpstreamDirectory* upstreams, CrashRecord* crashes,
+                     PeerLink* peers, const Clock* clock, EventLog* log,
                      FeedEvents* configurations, FeedEvents* registrations)
     : m_options(options),
       m_routes(routes),
       m_upstreams(upstreams),
+      m_crashes(crashes),
       m_peers(peers),
       m_clock(clock),
       m_log(log),
@@ -61,6 +66,13 @@
 
 void PeerRelay::Step() {
   const TimePoint now = m_clock->Now();
+  for (const UpstreamCrash& crash : m_crashes->TakeNews()) {
+    m_log->Write("upstream_crashed",
+                 {{"upstream", crash.upstream.Value()},
+                  {"fingerprint", std::to_string(crash.request.Value())},
+                  {"barred", m_crashes->IsBarred(crash.request)}});
+    for (const VmName& vm : m_connected) m_peers->Send(vm, NoticeOf(crash));
+  }
   if (now >= m_next_offer) {
     m_next_offer = now + kOfferInterval;
     for (const VmName& vm : m_connected) {
@@ -85,6 +97,9 @@
 void PeerRelay::OnPeerUp(const Hello& peer) {
   m_connected.insert(peer.vm);
   m_peers->Send(peer.vm, ConfigurationOffer{InForce(), true, ""});
+  for (const UpstreamCrash& crash : m_crashes->All()) {
+    m_peers->Send(peer.vm, NoticeOf(crash));
+  }
 }
 
 void PeerRelay::OnPeerDown(const VmName& vm) { m_connected.erase(vm); }
@@ -94,6 +109,17 @@
     TakeOffer(from, *offer);
   } else if (const auto* list = std::get_if<Registrations>(&message)) {
     TakeRegistrations(from, *list);
+  } else if (const auto* notice = std::get_if<CrashNotice>(&message)) {
+    TakeCrash(from, *notice);
+  }
+}
+
+void PeerRelay::TakeCrash(const VmName& from, const CrashNotice& notice) {
+  const UpstreamCrash crash{RequestFingerprint(notice.fingerprint),
+                            notice.upstream};
+  if (!m_crashes->Count(crash, m_clock->Now())) return;
+  for (const VmName& vm : m_connected) {
+    if (vm != from) m_peers->Send(vm, notice);
   }
 }
 
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -8,6 +8,7 @@
 
 #include "burdockhill/src/gateway/object_feed.h"
 #include "burdockhill/src/peer/peer_link.h"
+#include "burdockhill/src/routing/crash_record.h"
 #include "burdockhill/src/routing/route_table.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
@@ -17,6 +18,8 @@
 // other while the store turns some of them away. Each entry tells a few others,
 // its seeds, which configuration it has in force; whoever is behind asks for
 // the newer one. An entry that starts without the store asks for the upstreams.
+// News of requests that crash their upstreams is passed on by everyone who
+// hears it first.
 class PeerRelay : public PeerEvents {
  public:
   struct Options {
@@ -27,9 +30,9 @@
   };
 
   PeerRelay(const Options& options, const RouteTable* routes,
-            const UpstreamDirectory* upstreams, PeerLink* peers,
-            const Clock* clock, EventLog* log, FeedEvents* configurations,
-            FeedEvents* registrations);
+            const UpstreamDirectory* upstreams, CrashRecord* crashes,
+            PeerLink* peers, const Clock* clock, EventLog* log,
+            FeedEvents* configurations, FeedEvents* registrations);
 
   // What the store's feeds have brought, to be passed on when asked for.
   void KeepConfiguration(const FeedObject& object);
@@ -49,11 +52,13 @@
  private:
   void TakeOffer(const VmName& from, const ConfigurationOffer& offer);
   void TakeRegistrations(const VmName& from, const Registrations& message);
+  void TakeCrash(const VmName& from, const CrashNotice& notice);
   Generation InForce() const;
 
   Options m_options;
   const RouteTable* m_routes;
   const UpstreamDirectory* m_upstreams;
+  CrashRecord* m_crashes;
   PeerLink* m_peers;
   const Clock* m_clock;
   EventLog* m_log;
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -140,11 +140,15 @@
   if (request == nullptr) return;
   m_calls.Erase(id);
   request->call = http::CallId();
+  const TimePoint now = m_board->clock->Now();
+  const RoutedRequest& routed = request->routed;
   if (failure == http::CallFailure::kNotSent) {
+    m_board->crashes.NoteUnreachable(routed.upstream, now);
     NoteEnd(request, CallResult::kUnreachable);
     ++request->refused_starts;
     return Retry(request, LastCall::kNotSent, "no connection");
   }
+  m_board->crashes.NoteBroken(routed.Fingerprint(), routed.upstream, now);
   NoteEnd(request, CallResult::kFailed);
   Retry(request, LastCall::kMayHaveRun,
         failure == http::CallFailure::kBroken ? "connection broke"
@@ -159,6 +163,7 @@
 
 bool PlainRequests::MayRunAgain(const Request& request, LastCall last) const {
   if (m_board->clock->Now() >= request.routed.answer_by) return false;
+  if (IsBarred(request.routed)) return false;
   if (last != LastCall::kMayHaveRun) return true;
   return request.routed.route.kind == RequestKind::kIdempotent &&
          request.runs < request.routed.route.max_attempts;
@@ -205,8 +210,16 @@
       ->Add(std::chrono::duration<double>(took).count());
 }
 
+bool PlainRequests::IsBarred(const RoutedRequest& routed) const {
+  const CrashRecord& crashes = m_board->crashes;
+  return !crashes.IsEmpty() && crashes.IsBarred(routed.Fingerprint());
+}
+
 void PlainRequests::Deliver(Request* request) {
   const RoutedRequest& routed = request->routed;
+  if (!m_board->crashes.IsEmpty()) {
+    m_board->crashes.NoteAnswered(routed.Fingerprint());
+  }
   NoteAnswerTime(routed);
   http::Head head = std::move(request->answer);
   http::RemoveConnectionHeaders(&head.headers);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -57,6 +57,7 @@
   // Ends the request or sends it to another upstream.
   void Retry(Request* request, LastCall last, std::string_view reason);
   bool MayRunAgain(const Request& request, LastCall last) const;
+  bool IsBarred(const RoutedRequest& routed) const;
   void Deliver(Request* request);
   void StartStream(Request* request);
   void EndStream(Request* request);
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -324,6 +324,9 @@
   if (stream->passing) {
     m_board->server->WriteStream(routed.exchange, stream->events.TakeRest());
     m_board->server->EndStream(routed.exchange);
+    if (!m_board->crashes.IsEmpty()) {
+      m_board->crashes.NoteAnswered(routed.Fingerprint());
+    }
     LogEnd(*stream);
     return Finish(stream);
   }
@@ -386,10 +389,13 @@
   }
   if (not_sent) {
     m_reservations->NoteUnreachable(stream->decode);
+    m_board->crashes.NoteUnreachable(stream->decode, m_board->clock->Now());
     stream->kv = std::exchange(stream->kv_in_call, std::nullopt);
     return OnDecodeRejected(stream, "no connection");
   }
   m_reservations->NoteTrouble(stream->decode);
+  m_board->crashes.NoteBroken(stream->routed.Fingerprint(), stream->decode,
+                              m_board->clock->Now());
   stream->may_have_run = true;
   OnDecodeBroken(stream, failure == http::CallFailure::kBroken
                              ? "connection broke"
@@ -405,6 +411,7 @@
   const bool again = routed.route.kind == RequestKind::kResumableStream &&
                      stream->decode_calls < kMaxDecodeCalls &&
                      now < routed.answer_by &&
+                     !m_board->crashes.IsBarred(routed.Fingerprint()) &&
                      m_board->retries.TrySpend(routed.service, now);
   if (!again) return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
   stream->waiting_since = now;
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -225,13 +225,19 @@
   std::vector<RelayedObject> objects;
 };
 
+// Entry to entry: an upstream ended while it ran a request.
+struct CrashNotice {
+  uint64_t fingerprint = 0;  // Of the request.
+  UpstreamName upstream;
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ReserveDecode, StartPrefill, StartDecode,
                  CancelAttempt, RenewHolds, AttachAttempt, CallService,
                  ReserveGranted, AttemptRefused, PrefillDone, StreamChunk,
                  AttemptFailed, CallAnswered, AttemptReleased, LoadReport,
                  ConfigurationOffer, ConfigurationState, ReservePrefill,
-                 Registrations>;
+                 Registrations, CrashNotice>;
 
 }  // namespace burdockhill
 
--- /dev/null
+++ b/burdockhill/src/routing/crash_record.cc
@@ -0,0 +1,98 @@
+#include "burdockhill/src/routing/crash_record.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace burdockhill {
+
+namespace {
+
+// Upstreams that a request may end before it is barred; the users' rule.
+constexpr size_t kCrashesToBar = 3;
+// A crashed upstream's registration lapses after three missed heartbeats, and
+// the registry may be slow to say so.
+constexpr Duration kConfirmTime = std::chrono::seconds(8);
+// A barred request may be tried again after this long.
+constexpr Duration kMemory = std::chrono::minutes(2);
+// Suspects that are kept at a time; an outage makes one of every open call.
+constexpr size_t kMaxSuspects = 1000;
+
+}  // namespace
+
+RequestFingerprint FingerprintOf(std::string_view method, std::string_view host,
+                                 std::string_view target,
+                                 std::string_view body) {
+  uint64_t hash = 0;
+  for (const std::string_view part : {method, host, target, body}) {
+    hash = XXH64(part.data(), part.size(), hash);
+  }
+  return RequestFingerprint(hash | 1);
+}
+
+void CrashRecord::NoteBroken(RequestFingerprint request,
+                             const UpstreamName& upstream, TimePoint now) {
+  if (m_suspects.size() >= kMaxSuspects) m_suspects.erase(m_suspects.begin());
+  m_suspects.push_back({{request, upstream}, now});
+}
+
+void CrashRecord::Confirm(const UpstreamCrash& crash, TimePoint now) {
+  if (Count(crash, now)) m_news.push_back(crash);
+}
+
+void CrashRecord::NoteUnreachable(const UpstreamName& upstream, TimePoint now) {
+  std::erase_if(m_suspects, [&](const Suspect& suspect) {
+    if (suspect.crash.upstream != upstream) return false;
+    Confirm(suspect.crash, now);
+    return true;
+  });
+}
+
+void CrashRecord::NoteAnswered(RequestFingerprint request) {
+  std::erase_if(m_suspects, [&](const Suspect& suspect) {
+    return suspect.crash.request == request;
+  });
+  m_counted.erase(request);
+}
+
+void CrashRecord::Step(const UpstreamDirectory& directory, TimePoint now) {
+  std::erase_if(m_suspects, [&](const Suspect& suspect) {
+    if (now - suspect.since > kConfirmTime) return true;
+    if (directory.Find(suspect.crash.upstream) != nullptr) return false;
+    Confirm(suspect.crash, now);
+    return true;
+  });
+  std::erase_if(m_counted, [&](const auto& entry) {
+    return now - entry.second.latest > kMemory;
+  });
+}
+
+bool CrashRecord::Count(const UpstreamCrash& crash, TimePoint now) {
+  Counted& counted = m_counted[crash.request];
+  counted.latest = now;
+  return counted.upstreams.insert(crash.upstream).second;
+}
+
+bool CrashRecord::IsBarred(RequestFingerprint request) const {
+  const auto found = m_counted.find(request);
+  return found != m_counted.end() &&
+         found->second.upstreams.size() >= kCrashesToBar;
+}
+
+std::vector<UpstreamCrash> CrashRecord::TakeNews() {
+  return std::exchange(m_news, {});
+}
+
+std::vector<UpstreamCrash> CrashRecord::All() const {
+  std::vector<UpstreamCrash> all;
+  for (const auto& [request, counted] : m_counted) {
+    for (const UpstreamName& upstream : counted.upstreams) {
+      all.push_back({request, upstream});
+    }
+  }
+  return all;
+}
+
+}  // namespace burdockhill
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -81,6 +81,10 @@
     Set(Body::Registrations,
         CreateRegistrations(b, m.request, m.revision, b.CreateVector(objects)));
   }
+  void operator()(const burdockhill::CrashNotice& m) {
+    Set(Body::CrashNotice,
+        CreateCrashNotice(b, m.fingerprint, Text(b, m.upstream)));
+  }
   void operator()(const burdockhill::ReservePrefill& m) {
     const Attempt a = ToWire(m.attempt);
     Set(Body::ReservePrefill,
@@ -259,6 +263,11 @@
   return out;
 }
 
+std::optional<Message> Decode(const CrashNotice& m) {
+  return burdockhill::CrashNotice{m.fingerprint(),
+                                  UpstreamName(Text(m.upstream()))};
+}
+
 std::optional<Message> Decode(const ReservePrefill& m) {
   burdockhill::ReservePrefill out;
   out.attempt = FromWire(m.attempt());
@@ -418,6 +427,8 @@
       return Decode(*e.body_as_CancelAttempt());
     case Body::Registrations:
       return Decode(*e.body_as_Registrations());
+    case Body::CrashNotice:
+      return Decode(*e.body_as_CrashNotice());
     case Body::ReservePrefill:
       return Decode(*e.body_as_ReservePrefill());
     case Body::RenewHolds:
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -33,9 +33,10 @@
 constexpr int kEngines = 4;
 constexpr int kPlain = 2;
 // Longer than any request's timeout, so that everything has ended by then.
-constexpr Duration kQuietEnd = std::chrono::seconds(8);
-// By then entries have found the store again and have the configuration.
-constexpr Duration kSettleTime = std::chrono::seconds(5);
+constexpr Duration kQuietEnd = std::chrono::seconds(12);
+// By then the last stop is over, entries that were restarted have found the
+// store again, and all have the configuration.
+constexpr Duration kSettleTime = std::chrono::seconds(9);
 constexpr double kRequestsPerSecond = 12;
 
 std::string EntryAddress(int i) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -544,6 +544,20 @@
   }
 }
 
+TEST(Gateway, ARequestThatCrashedThreeUpstreamsIsRefusedAtOnce) {
+  for (const char* upstream : {"x", "y", "z"}) {
+    m_board.crashes.Count(
+        {FingerprintOf("POST", "h", "/safe/x", "hi"), UpstreamName(upstream)},
+        m_clock.Now());
+  }
+  const std::string answer = m_sockets.Take(Call("/safe/x"));
+  STRCMP_CONTAINS("503", answer.c_str());
+  STRCMP_CONTAINS("Retry-After: 60", answer.c_str());
+  LONGS_EQUAL(0, m_sockets.AllOutgoing().size());
+  Call("/safe/y");
+  LONGS_EQUAL(1, m_sockets.AllOutgoing().size());
+}
+
 TEST(Gateway, PrefillEnginesOutOfServiceAreDoneWithout) {
   Call("/stream/x");
   CHECK(Grant<ReserveDecode>());
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -216,7 +216,7 @@
                 const Clock* clock, EventLog* log)
       : feed(&directory, &codec, clock, log),
         relay({VmName(name), {other}, kAgentPort, "main"}, &routes, &directory,
-              &peers, clock, log, &configurations, &feed) {}
+              &crashes, &peers, clock, log, &configurations, &feed) {}
 
   // Hands over what this entry has sent; true if there was anything.
   bool SendTo(const std::string& self, RelayingEntry* other) {
@@ -229,6 +229,7 @@
 
   RouteTable routes;
   UpstreamDirectory directory;
+  CrashRecord crashes;
   Agents peers;
   platform::PlatformObjectCodec codec;
   Configurations configurations{&routes};
@@ -291,6 +292,20 @@
   CHECK(!m_fresh.directory.HasList());
 }
 
+TEST(PeerRelay, TellsOthersOnceWhichRequestCrashedAnUpstream) {
+  const RequestFingerprint request = FingerprintOf("POST", "h", "/x", "");
+  m_settled.peers.sent.clear();
+  m_settled.crashes.NoteBroken(request, UpstreamName("gone"), m_clock.Now());
+  m_settled.crashes.Step(m_settled.directory, m_clock.Now());
+  m_settled.relay.Step();
+  CHECK(m_settled.SendTo("settled", &m_fresh));
+  CHECK_FALSE(m_fresh.crashes.IsEmpty());
+  // The second entry does not send it back.
+  for (const auto& [vm, message] : m_fresh.peers.sent) {
+    CHECK_FALSE(std::holds_alternative<CrashNotice>(message));
+  }
+}
+
 TEST(PeerRelay, AnOlderConfigurationIsNeverTaken) {
   Pass(seconds(2));
   m_fresh.relay.OnMessage(
