--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -96,8 +96,8 @@
   if (stream == nullptr) return;
   const bool turn = stream->phase == Phase::kAwaitingTurn;
   (turn ? stream->prefill_turn : stream->attempt) = AttemptId();
-  // Prefill engines that are out of service, unlike ones that are busy, do not
-  // come back in time. The decode engine has no agent to ask either.
+  // No prefill engine is in service and no agent tells when the decode engine
+  // may compute the prompt: it does so now. Waiting would not help.
   if (turn && kind == ErrorKind::kNoUpstream) return StartDecode(stream);
   if (stream->may_have_run) {
     return FailUnknown(stream, ErrorKind::kUpstreamFailed,
