Learn how fast prompts are computed instead of stating it

Cause: whether a decode engine may compute a prompt rested on a rate of the users' engines written into the code; a deployment with others would have been misjudged. Change: an entry learns the rate from the quickest prefill answers; until it knows one, decode engines compute prompts only where nothing else can.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "burdockhill/src/routing/stream_budget.h"
-
 namespace burdockhill {
 
 namespace {
@@ -151,13 +149,18 @@
           m_board->upstreams.Find(stream->decode)) {
     need.near = decode->zone;
   }
-  const LocalPrefill local = LocalPrefillFor(
-      routed.route, routed.request.prompt, now - stream->waiting_since);
+  const LocalPrefill local = LocalPrefillOf(*stream);
   need.local = stream->decode;
   need.local_after = local.allowed ? local.after : need.wait;
   m_reservations->Ask(stream->prefill_turn, need);
 }
 
+LocalPrefill StreamCalls::LocalPrefillOf(const Stream& stream) const {
+  return LocalPrefillFor(stream.routed.route, stream.routed.request.prompt,
+                         m_board->clock->Now() - stream.waiting_since,
+                         m_prefill_rate.TokensPerSecond());
+}
+
 void StreamCalls::StartPrefill(Stream* stream) {
   ++stream->prefill_calls;
   const RegisteredUpstream* upstream = m_board->upstreams.Find(stream->prefill);
@@ -290,6 +293,8 @@
         "prefill status " + std::to_string(stream->answer.status));
   }
   m_reservations->NoteAnswer(stream->prefill);
+  m_prefill_rate.Learn(stream->routed.request.prompt,
+                       m_board->clock->Now() - stream->call_started);
   stream->kv = m_board->codec->DecodePrefill(*upstream, stream->answer_body);
   if (!stream->kv.has_value()) {
     return OnPrefillFailed(stream, /*was_sent=*/true, "prefill not understood");
@@ -370,11 +375,7 @@
   }
   // A short prompt is computed by the decode engine: one more call instead of
   // two. A long one would hold up the streams that run there.
-  const Route& route = routed.route;
-  if (LocalPrefillFor(route, routed.request.prompt, now - stream->waiting_since)
-          .allowed) {
-    return StartDecode(stream);
-  }
+  if (LocalPrefillOf(*stream).allowed) return StartDecode(stream);
   AskPrefill(stream);
 }
 
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -10,6 +10,7 @@
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/event_stream.h"
 #include "burdockhill/src/gateway/reservations.h"
+#include "burdockhill/src/routing/stream_budget.h"
 
 namespace burdockhill {
 
@@ -93,6 +94,8 @@
   void PassHead(Stream* stream, const http::Head& head);
   // Gives back memory, KV cache and calls of the current try.
   void DropTry(Stream* stream);
+  // Whether and when the decode engine may compute the prompt.
+  LocalPrefill LocalPrefillOf(const Stream& stream) const;
   void Reject(Stream* stream, Duration retry_after, std::string_view reason);
   void FailUnknown(Stream* stream, ErrorKind kind, std::string_view reason);
   void Finish(Stream* stream);
@@ -104,6 +107,7 @@
   Table<http::ExchangeId, Stream> m_streams;
   Table<http::CallId, http::ExchangeId> m_calls;
   Table<AttemptId, http::ExchangeId> m_attempts;
+  PrefillRate m_prefill_rate;
   // Releases of KV cache whose answers nobody waits for.
   class IgnoredAnswers : public http::CallEvents {
     bool OnAnswerHead(http::CallId, const http::Head&) override { return true; }
--- a/burdockhill/src/routing/stream_budget.cc
+++ b/burdockhill/src/routing/stream_budget.cc
@@ -27,9 +27,12 @@
 constexpr double kLocalPrefillAge = 0.4;
 // Share of the gap target that other streams may stand still.
 constexpr double kLocalPrefillGap = 0.65;
-// Decode engines compute prompts at half the speed of prefill engines, here in
-// tokens a second. Engines of large models were measured at 27,800.
-constexpr double kLocalPrefillRate = 27000;
+// Decode engines compute prompts at this share of the speed of prefill engines,
+// between the steps of their streams; the platform's figure.
+constexpr double kLocalPrefillSpeed = 0.5;
+// What the learned rate loses with each answer, so that it follows engines that
+// turn slower.
+constexpr double kRateDecay = 0.002;
 
 Duration Share(Duration whole, double share) {
   return Duration(
@@ -54,15 +57,24 @@
   return budget;
 }
 
-LocalPrefill LocalPrefillFor(const Route& route, Tokens prompt, Duration age) {
-  const double seconds =
-      static_cast<double>(prompt.Value()) / kLocalPrefillRate;
-  const Duration longest = Share(route.gap_target, kLocalPrefillGap);
+LocalPrefill LocalPrefillFor(const Route& route, Tokens prompt, Duration age,
+                             double rate) {
   LocalPrefill local;
-  local.allowed = seconds <= std::chrono::duration<double>(longest).count();
   local.after = std::max(Share(route.latency_target, kLocalPrefillAge) - age,
                          Duration(0));
+  if (rate <= 0) return local;
+  const double seconds =
+      static_cast<double>(prompt.Value()) / (rate * kLocalPrefillSpeed);
+  const Duration longest = Share(route.gap_target, kLocalPrefillGap);
+  local.allowed = seconds <= std::chrono::duration<double>(longest).count();
   return local;
 }
 
+void PrefillRate::Learn(Tokens prompt, Duration took) {
+  const double seconds = std::chrono::duration<double>(took).count();
+  if (seconds <= 0) return;
+  const double rate = static_cast<double>(prompt.Value()) / seconds;
+  m_rate = std::max(rate, m_rate * (1 - kRateDecay));
+}
+
 }  // namespace burdockhill
--- a/burdockhill/src/routing/stream_budget.h
+++ b/burdockhill/src/routing/stream_budget.h
@@ -26,7 +26,22 @@
   Duration after{0};  // From now.
 };
 
-LocalPrefill LocalPrefillFor(const Route& route, Tokens prompt, Duration age);
+// `rate` is what prefill engines compute, in tokens a second; zero while it is
+// not known, and then none are allowed.
+LocalPrefill LocalPrefillFor(const Route& route, Tokens prompt, Duration age,
+                             double rate);
+
+// How fast prefill engines compute prompts, learned from their answers. Prompts
+// that waited for others look slow, so the quickest ones count.
+class PrefillRate {
+ public:
+  void Learn(Tokens prompt, Duration took);
+  // Tokens a second; zero before the first answer.
+  double TokensPerSecond() const { return m_rate; }
+
+ private:
+  double m_rate = 0;
+};
 
 // What is left for a stage of a request that arrived `age` ago and has to be
 // answered within `time_left`. The rest of the latency target, and of the
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -496,6 +496,7 @@
   const SocketId caller = Call("/stream/x");
   CHECK(Grant<ReserveDecode>());
   CHECK(Grant<ReservePrefill>());
+  Pass(milliseconds(80));  // 5,000 tokens.
   m_sockets.Arrive(Upstreams(kPrefill),
                    Answer(200, "X-Request-Id: r1\r\n", R"({"kvHandle":"k"})"));
   SocketId decode = Upstreams(kDecodeOne);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -658,6 +658,29 @@
   CHECK(over.wait == Duration(0));
 }
 
+TEST(StreamBudget, ADecodeEngineComputesPromptsThatItsStreamsHardlyNotice) {
+  // 25 tokens a millisecond at a decode engine, and a gap target of 300 ms.
+  constexpr double kRate = 50000;
+  const auto at = [&](int64_t prompt, Duration age, double rate) {
+    return LocalPrefillFor(m_route, Tokens(prompt), age, rate);
+  };
+  CHECK(at(4500, Duration(0), kRate).allowed);
+  CHECK_FALSE(at(7500, Duration(0), kRate).allowed);
+  CHECK(at(7500, Duration(0), 2 * kRate).allowed);
+  CHECK_FALSE(at(100, Duration(0), 0).allowed);  // Not known yet.
+  CHECK(at(100, Duration(0), kRate).after > Duration(0));
+  CHECK(at(100, seconds(2), kRate).after == Duration(0));
+}
+
+TEST(StreamBudget, TheQuickestPrefillsTellTheRate) {
+  PrefillRate rate;
+  rate.Learn(Tokens(5000), milliseconds(100));
+  rate.Learn(Tokens(5000), milliseconds(400));  // Waited for others.
+  CHECK(rate.TokensPerSecond() > 49000 && rate.TokensPerSecond() <= 50000);
+  for (int i = 0; i < 2000; ++i) rate.Learn(Tokens(5000), milliseconds(200));
+  CHECK(rate.TokensPerSecond() < 26000);
+}
+
 TEST_GROUP(EngineRooms) {
   Reservation Prompt(uint64_t request, int64_t tokens) {
     Reservation reservation;
