Refuse a plain call at once where every upstream has its most calls

Cause: the limit of connections made Choose return nobody while Retry counted an untried upstream as another one; the two called each other until the stack was full. Change: Retry asks Choose itself; what nobody has room for is refused. An upstream's own error is delivered where nobody else can be asked, instead of a 502. Tests: two in gateway_test; the first ended the test program before.

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -1,6 +1,5 @@
 #include "burdockhill/src/gateway/plain_requests.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace burdockhill {
@@ -38,7 +37,9 @@
   m_board->retries.CountRequest(routed.service, routed.arrived);
   Request& request = m_requests.FindOrInsert(id);
   request.routed = std::move(routed);
-  Send(&request);
+  const RegisteredUpstream* upstream = Choose(request);
+  if (upstream == nullptr) return GiveUp(&request, "no upstream has room");
+  Send(&request, upstream);
 }
 
 PlainRequests::Request* PlainRequests::Of(http::CallId id) {
@@ -46,17 +47,15 @@
   return exchange == nullptr ? nullptr : m_requests.Find(*exchange);
 }
 
-void PlainRequests::Send(Request* request) {
+const RegisteredUpstream* PlainRequests::Choose(const Request& request) const {
+  return m_board->placement.Choose(
+      m_board->upstreams.Of(request.routed.service), request.tried,
+      m_board->clock->Now(), m_board->random);
+}
+
+void PlainRequests::Send(Request* request, const RegisteredUpstream* upstream) {
   const TimePoint now = m_board->clock->Now();
   RoutedRequest& routed = request->routed;
-  const RegisteredUpstream* upstream =
-      m_board->placement.Choose(m_board->upstreams.Of(routed.service),
-                                request->tried, now, m_board->random);
-  if (upstream == nullptr) {
-    const bool tried_some = !request->tried.empty();
-    return Retry(request, LastCall::kNotSent,
-                 tried_some ? "no other upstream" : "no upstream registered");
-  }
   UpstreamCall call;
   call.time_left = routed.TimeLeft(now);
   routed.upstream = upstream->name;
@@ -128,9 +127,10 @@
   if (!error || request->caller_gone_at.has_value()) return Deliver(request);
   ++request->runs;
   const TimePoint now = m_board->clock->Now();
-  if (MayRunAgain(*request, LastCall::kMayHaveRun) &&
+  const RegisteredUpstream* other = Choose(*request);
+  if (other != nullptr && MayRunAgain(*request, LastCall::kMayHaveRun) &&
       m_board->retries.TrySpend(request->routed.service, now)) {
-    return Send(request);
+    return Send(request, other);
   }
   Deliver(request);
 }
@@ -178,14 +178,9 @@
   }
   if (last == LastCall::kMayHaveRun) ++request->runs;
   const TimePoint now = m_board->clock->Now();
-  const std::vector<const RegisteredUpstream*> known =
-      m_board->upstreams.Of(routed.service);
-  const bool has_other = std::any_of(
-      known.begin(), known.end(), [&](const RegisteredUpstream* upstream) {
-        return !upstream->leaving && !request->tried.contains(upstream->name);
-      });
+  const RegisteredUpstream* other = Choose(*request);
   // A call that was never sent costs the upstreams nothing.
-  const bool again = has_other && MayRunAgain(*request, last) &&
+  const bool again = other != nullptr && MayRunAgain(*request, last) &&
                      request->refused_starts <= kMaxRefusedStarts &&
                      (last == LastCall::kNotSent ||
                       m_board->retries.TrySpend(routed.service, now));
@@ -194,11 +189,17 @@
                         {{"request", routed.request.id},
                          {"upstream", request->routed.upstream.Value()},
                          {"reason", std::string(reason)}});
-    return Send(request);
+    return Send(request, other);
   }
+  GiveUp(request, reason);
+}
+
+void PlainRequests::GiveUp(Request* request, std::string_view reason) {
+  const RoutedRequest& routed = request->routed;
+  const bool registered = !m_board->upstreams.Of(routed.service).empty();
   const ErrorKind kind = request->runs > 0 ? ErrorKind::kUpstreamFailed
-                         : known.empty()   ? ErrorKind::kNoUpstream
-                                           : ErrorKind::kOverloaded;
+                         : registered      ? ErrorKind::kOverloaded
+                                           : ErrorKind::kNoUpstream;
   Refuse(m_board, routed, kind, Duration(0), reason);
   Finish(routed.exchange);
 }
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -53,9 +53,13 @@
   void OnCallFailed(http::CallId id, http::CallFailure failure) override;
 
   Request* Of(http::CallId id);
-  void Send(Request* request);
+  // The best upstream that was not tried and has room, or nullptr.
+  const RegisteredUpstream* Choose(const Request& request) const;
+  void Send(Request* request, const RegisteredUpstream* upstream);
   // Ends the request or sends it to another upstream.
   void Retry(Request* request, LastCall last, std::string_view reason);
+  // Refuses, or fails what may have run.
+  void GiveUp(Request* request, std::string_view reason);
   bool MayRunAgain(const Request& request, LastCall last) const;
   bool IsBarred(const RoutedRequest& routed) const;
   void Deliver(Request* request);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -287,6 +287,36 @@
   STRCMP_CONTAINS("200", m_sockets.Take(caller).c_str());
 }
 
+TEST(Gateway, ACallIsRefusedAtOnceWhereAllUpstreamsHaveTheirMostCalls) {
+  m_board.placement.SetMostCalls(ServiceName("plain"), 1);
+  Call("/once/x");
+  Call("/once/x");
+  LONGS_EQUAL(2, m_sockets.AllOutgoing().size());
+  const std::string answer = m_sockets.Take(Call("/once/x"));
+  STRCMP_CONTAINS("503", answer.c_str());
+  STRCMP_CONTAINS("Retry-After", answer.c_str());
+  // Also for a call that was sent and rejected.
+  const SocketId upstream = AnyPlain();
+  m_sockets.Arrive(upstream, Answer(503,
+                                    "X-Request-Id: r1\r\n"
+                                    "X-Not-Executed: 1\r\n",
+                                    ""));
+  LONGS_EQUAL(1, m_plain.Size());
+}
+
+TEST(Gateway, AnErrorOfTheOnlyUpstreamIsDelivered) {
+  m_board.upstreams.ApplyRemoval(UpstreamName("p2"), 9, m_clock.Now());
+  Step();
+  const SocketId caller = Call("/safe/x");
+  m_sockets.Arrive(AnyPlain(), Answer(500,
+                                      "X-Request-Id: r1\r\n"
+                                      "X-Response-Seal: seal\r\n",
+                                      "sorry"));
+  const std::string answer = m_sockets.Take(caller);
+  STRCMP_CONTAINS("HTTP/1.1 500", answer.c_str());
+  STRCMP_CONTAINS("X-Response-Seal: seal", answer.c_str());
+}
+
 TEST(Gateway, ARejectedCallIsTriedElsewhereAndThenRefusedAsNotRun) {
   const SocketId caller = Call("/once/x");
   const std::string rejected =
