--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -304,6 +304,18 @@
   LONGS_EQUAL(1, m_plain.Size());
 }
 
+TEST(Gateway, AnAnswerToAnotherRequestIsNotPassedOn) {
+  const SocketId caller = Call("/once/x");
+  const SocketId upstream = AnyPlain();
+  m_sockets.Arrive(upstream,
+                   Answer(200, "X-Request-Id: r0\r\n", "of someone else"));
+  STRCMP_EQUAL("", m_sockets.Take(caller).c_str());
+  m_sockets.Arrive(upstream, Answer(200, "X-Request-Id: r1\r\n", "own"));
+  const std::string answer = m_sockets.Take(caller);
+  STRCMP_CONTAINS("\r\n\r\nown", answer.c_str());
+  CHECK(answer.find("someone else") == std::string::npos);
+}
+
 TEST(Gateway, AnErrorOfTheOnlyUpstreamIsDelivered) {
   m_board.upstreams.ApplyRemoval(UpstreamName("p2"), 9, m_clock.Now());
   Step();
