--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -111,6 +111,7 @@
         "Content-Length: 3\r\nContent-Length: 3\r\n",
         "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
         "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
         "Transfer-Encoding: chunked, identity\r\n",
         "Transfer-Encoding: xchunked\r\n", "Content-Length: -1\r\n",
         "Content-Length: +3\r\n", "Content-Length: 3, 3\r\n",
