--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -157,7 +157,8 @@
     m_clock.Advance(milliseconds(20));
   }
   // In a minute: no more than letter 1 allows a node, 13 kB/s.
-  CHECK(bytes > 0 && bytes <= 60 * 13000);
+  constexpr size_t kMostBytes = size_t{60} * 13000;
+  CHECK(bytes > 0 && bytes <= kMostBytes);
 }
 
 TEST(ObjectFeed, ASilentConnectionIsGivenUpAndTheWatchGoesOn) {
--- /dev/null
+++ b/tests/routing_test_engines.cc
@@ -0,0 +1,429 @@
+// Module routing: memory, turns and roles of engines, under the loads they
+// answer.
+
+#include <queue>
+
+#include "tests/routing_test_support.h"
+
+using namespace burdockhill;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(OutputLengthModel){};
+
+TEST(OutputLengthModel, ExpectsLessAfterShortAnswersWereSeen) {
+  OutputLengthModel model;
+  const double before =
+      model.ChanceToGoOn(Tokens(1000), Tokens(0), Tokens(700));
+  for (int i = 0; i < 96; ++i) model.Learn(Tokens(1000), Tokens(400));
+  DOUBLES_EQUAL(0, model.ChanceToGoOn(Tokens(1000), Tokens(0), Tokens(700)), 0);
+  DOUBLES_EQUAL(1, model.ChanceToGoOn(Tokens(1000), Tokens(0), Tokens(300)), 0);
+  CHECK(before > 0.5);
+}
+
+TEST(OutputLengthModel, AnAnswerBeyondAllThatWereSeenMayStillGrow) {
+  OutputLengthModel model;
+  const double chance =
+      model.ChanceToGoOn(Tokens(1000), Tokens(5000), Tokens(100));
+  CHECK(chance > 0.5 && chance < 1);
+  CHECK(model.ChanceToGoOn(Tokens(1000), Tokens(5000), Tokens(5000)) < 0.05);
+}
+
+TEST_GROUP(EngineLedger) {
+  void setup() override { m_ledger.SetCapacity(Tokens(100000), 64); }
+  TimePoint m_now{seconds(100)};
+  EngineLedger m_ledger;
+};
+
+// Fills an engine as far as the ledger allows, then lets the runs grow to
+// lengths drawn from the distribution that the ledger has learned.
+TEST(EngineLedger, AFullEngineSeldomRunsOutOfMemory) {
+  constexpr int kFills = 200;
+  constexpr int64_t kPrompt = 5000;
+  constexpr int64_t kEstimate = 4000;
+  const std::vector<double> ratios = {0.44, 0.6,  0.72, 0.86, 1.0,
+                                      1.16, 1.39, 1.67, 2.27};
+  int taken = 0;
+  while (m_ledger.Fits(Tokens(kPrompt), Tokens(kEstimate)) && taken < 64) {
+    m_ledger.Add(Attempt(++taken), Tokens(kPrompt), Tokens(kEstimate), m_now);
+  }
+  // At least what fits if every run reached its estimate at the same time.
+  CHECK(taken >= 11);
+  Random random(5);
+  int overflows = 0;
+  for (int fill = 0; fill < kFills; ++fill) {
+    std::vector<int64_t> lengths;
+    lengths.reserve(static_cast<size_t>(taken));
+    for (int run = 0; run < taken; ++run) {
+      lengths.push_back(
+          static_cast<int64_t>(static_cast<double>(kEstimate) *
+                               ratios[random.Below(ratios.size())]));
+    }
+    int64_t peak = 0;
+    for (int64_t more = 0; more < 10000; more += 100) {
+      int64_t used = 0;
+      for (const int64_t length : lengths) {
+        if (length > more) used += kPrompt + more;
+      }
+      peak = std::max(peak, used);
+    }
+    if (peak > 100000) ++overflows;
+  }
+  CHECK(overflows * 4 < kFills);
+}
+
+TEST(EngineLedger, CountsTheGrowthStillToCome) {
+  // Fifteen prompts fit as they are, but not as they grow.
+  for (int i = 1; i <= 15; ++i) {
+    m_ledger.Add(Attempt(i), Tokens(5000), Tokens(4000), m_now);
+  }
+  CHECK(m_ledger.ExpectedPeak() > Tokens(90000));
+  CHECK(!m_ledger.Fits(Tokens(5000), Tokens(4000)));
+}
+
+TEST(EngineLedger, RunsThatEndSoonMakeRoomForLaterOnes) {
+  for (int i = 1; i <= 10; ++i) {
+    m_ledger.Add(Attempt(i), Tokens(5000), Tokens(4000), m_now);
+  }
+  const Tokens fresh = m_ledger.ExpectedPeak();
+  // Six of them near the longest answers known: they hold more now, and less
+  // is to come.
+  std::vector<ReportedRun> runs;
+  for (int i = 1; i <= 10; ++i) {
+    runs.push_back({RequestId(i), Tokens(i <= 6 ? 8900 : 5200)});
+  }
+  m_ledger.Observe(runs, m_now);
+  Tokens if_all_grew(0);
+  for (int i = 1; i <= 10; ++i) if_all_grew += Tokens(i <= 6 ? 14000 : 9000);
+  CHECK(m_ledger.ExpectedPeak() < if_all_grew);
+  CHECK(fresh < Tokens(90000));
+}
+
+TEST(EngineLedger, LimitsRunsBySlots) {
+  m_ledger.SetCapacity(Tokens(100000), 2);
+  m_ledger.Add(Attempt(1), Tokens(1), Tokens(1), m_now);
+  CHECK(m_ledger.Fits(Tokens(1), Tokens(1)));
+  m_ledger.Add(Attempt(2), Tokens(1), Tokens(1), m_now);
+  CHECK(!m_ledger.Fits(Tokens(1), Tokens(1)));
+}
+
+TEST(EngineLedger, AReservationThatIsNeverUsedLapses) {
+  m_ledger.Add(Attempt(1), Tokens(5000), Tokens(100), m_now);
+  m_ledger.Observe({}, m_now + seconds(2));
+  LONGS_EQUAL(1, m_ledger.Runs());
+  m_ledger.Observe({}, m_now + seconds(4));
+  LONGS_EQUAL(0, m_ledger.Runs());
+}
+
+TEST(EngineLedger, RunsThatNobodyReservedForCountToo) {
+  m_ledger.Observe({{RequestId(9), Tokens(90000)}}, m_now);
+  LONGS_EQUAL(1, m_ledger.Runs());
+  CHECK(!m_ledger.Fits(Tokens(5000), Tokens(4000)));
+}
+
+TEST(EngineLedger, AnEmptyEngineTakesARequestThatMayOutgrowIt) {
+  CHECK(m_ledger.Fits(Tokens(60000), Tokens(90000)));
+  CHECK(!m_ledger.Fits(Tokens(100001), Tokens(1)));
+}
+
+namespace {
+
+// Room for one at a time; each takes 100 ms.
+class OneAtATime : public EngineRoom {
+ public:
+  bool TryTake(const Reservation& /*reservation*/, bool late,
+               TimePoint now) override {
+    if (now < m_busy_until || (late && !take_late)) return false;
+    m_busy_until = now + milliseconds(100);
+    return true;
+  }
+  Duration ExpectedWait(const Reservation& /*reservation*/,
+                        size_t ahead) const override {
+    return milliseconds(100) * static_cast<int64_t>(ahead + 1);
+  }
+  bool take_late = true;
+
+ private:
+  TimePoint m_busy_until{};
+};
+
+}  // namespace
+
+TEST_GROUP(ReservationQueue) {
+  void Ask(uint64_t request, Duration target, Duration wait, int priority = 0) {
+    Reservation reservation;
+    reservation.attempt = Attempt(request);
+    reservation.target_by = m_now + target;
+    reservation.give_up_at = m_now + wait;
+    reservation.priority = priority;
+    m_queue.Ask(reservation);
+  }
+  // Requests decided on now: granted as positive, refused as negative ids.
+  std::vector<int64_t> Decide() {
+    std::vector<int64_t> ids;
+    for (const auto& decision : m_queue.Decide(&m_room, m_now)) {
+      const auto id =
+          static_cast<int64_t>(decision.reservation.attempt.request.Value());
+      ids.push_back(decision.granted ? id : -id);
+    }
+    return ids;
+  }
+
+  TimePoint m_now{seconds(100)};
+  OneAtATime m_room;
+  ReservationQueue m_queue;
+};
+
+TEST(ReservationQueue, TheEarliestTargetGoesFirst) {
+  Ask(1, milliseconds(500), seconds(2));
+  Ask(2, milliseconds(300), seconds(2));
+  CHECK(Decide() == std::vector<int64_t>{2});
+  m_now += milliseconds(100);
+  CHECK(Decide() == std::vector<int64_t>{1});
+}
+
+TEST(ReservationQueue, AMoreUrgentRequestGoesFirstWhereTargetsAreNear) {
+  Ask(1, milliseconds(400), seconds(2), 1);
+  Ask(2, milliseconds(500), seconds(2), 0);
+  CHECK(Decide() == std::vector<int64_t>{2});
+  m_now += milliseconds(100);
+  CHECK(Decide() == std::vector<int64_t>{1});
+}
+
+TEST(ReservationQueue, AnUrgentRequestDoesNotStarveOthers) {
+  Ask(1, milliseconds(200), seconds(2), 1);
+  Ask(2, milliseconds(900), seconds(2), 0);
+  CHECK(Decide() == std::vector<int64_t>{1});
+}
+
+TEST(ReservationQueue, RequestsPastTheirTargetGiveWay) {
+  Ask(1, milliseconds(10), seconds(2));
+  m_now += milliseconds(20);
+  Ask(2, milliseconds(300), seconds(2));
+  CHECK(Decide() == std::vector<int64_t>{2});
+  m_now += milliseconds(100);
+  CHECK(Decide() == std::vector<int64_t>{1});
+}
+
+TEST(ReservationQueue, RefusesAtOnceWhatCannotBeServedInTime) {
+  for (int i = 1; i <= 8; ++i) Ask(i, milliseconds(200), milliseconds(200));
+  const std::vector<int64_t> first = Decide();
+  LONGS_EQUAL(1, first.front());
+  CHECK(first.size() > 1);  // The rest of them were refused without a wait.
+  for (size_t i = 1; i < first.size(); ++i) CHECK(first[i] < 0);
+}
+
+TEST(ReservationQueue, RefusesWhenTheWaitIsOver) {
+  Ask(1, milliseconds(100), seconds(1));
+  Ask(2, milliseconds(100), milliseconds(150));
+  CHECK(Decide() == std::vector<int64_t>{1});
+  m_room.take_late = false;
+  m_now += milliseconds(160);
+  CHECK(Decide() == std::vector<int64_t>{-2});
+}
+
+TEST(ReservationQueue, AClosedEngineRefusesEverything) {
+  Ask(1, seconds(1), seconds(1));
+  const auto decisions = m_queue.Decide(nullptr, m_now);
+  LONGS_EQUAL(1, decisions.size());
+  CHECK(!decisions.front().granted);
+}
+
+TEST(ReservationQueue, AWithdrawnRequestIsForgotten) {
+  Ask(1, seconds(1), seconds(1));
+  m_queue.Withdraw(Attempt(1));
+  CHECK(Decide().empty());
+}
+
+// A burst at twice the rate that an engine serves. What counts is how many
+// callers are served within their target.
+TEST(ReservationQueue, ABurstAtTwiceTheCapacityKeepsTheEngineOnTime) {
+  constexpr int kRequests = 80;  // One each 50 ms, against 100 ms of service.
+  std::map<int64_t, TimePoint> target;
+  int on_time = 0;
+  int late = 0;
+  for (int step = 0; step < 8 * kRequests; ++step) {
+    m_now += milliseconds(10);
+    const int request = step / 5 + 1;
+    if (step % 5 == 0 && request <= kRequests) {
+      Ask(request, milliseconds(400), seconds(2));
+      target[request] = m_now + milliseconds(400);
+    }
+    for (const int64_t id : Decide()) {
+      if (id > 0) ++(m_now <= target.at(id) ? on_time : late);
+    }
+  }
+  // 4 s of arrivals and 0.4 s of target are worth 44 grants. First come, first
+  // served would have let nearly all miss their targets after the first second.
+  CHECK(on_time >= 40);
+  CHECK(late > 0);
+}
+
+TEST_GROUP(StreamBudget) {
+  void setup() override {
+    m_route.latency_target = milliseconds(900);
+    m_route.gap_target = milliseconds(300);
+  }
+  Route m_route;
+};
+
+TEST(StreamBudget, LeavesTimeForWhatComesAfterTheWait) {
+  const StageBudget memory =
+      BudgetFor(StreamStage::kMemory, m_route, Duration(0), seconds(14));
+  const StageBudget turn =
+      BudgetFor(StreamStage::kPrefillTurn, m_route, Duration(0), seconds(14));
+  CHECK(memory.target_left < turn.target_left);
+  CHECK(turn.target_left < m_route.latency_target);
+  CHECK(memory.wait < turn.wait);
+  CHECK(turn.wait < milliseconds(3600));
+}
+
+TEST(StreamBudget, ShrinksWithAgeAndNeverOutlastsTheDeadline) {
+  const StageBudget old = BudgetFor(StreamStage::kMemory, m_route,
+                                    milliseconds(600), milliseconds(100));
+  CHECK(old.target_left < Duration(0));
+  CHECK(old.wait == milliseconds(100));
+  const StageBudget over =
+      BudgetFor(StreamStage::kMemory, m_route, seconds(10), seconds(1));
+  CHECK(over.wait == Duration(0));
+}
+
+TEST(StreamBudget, ADecodeEngineComputesPromptsThatItsStreamsHardlyNotice) {
+  // 25 tokens a millisecond at a decode engine, and a gap target of 300 ms.
+  constexpr double kRate = 50000;
+  const auto at = [&](int64_t prompt, Duration age, double rate) {
+    return LocalPrefillFor(m_route, Tokens(prompt), age, rate);
+  };
+  CHECK(at(4500, Duration(0), kRate).allowed);
+  CHECK_FALSE(at(7500, Duration(0), kRate).allowed);
+  CHECK(at(7500, Duration(0), 2 * kRate).allowed);
+  CHECK_FALSE(at(100, Duration(0), 0).allowed);  // Not known yet.
+  CHECK(at(100, Duration(0), kRate).after > Duration(0));
+  CHECK(at(100, seconds(2), kRate).after == Duration(0));
+}
+
+TEST(StreamBudget, TheQuickestPrefillsTellTheRate) {
+  PrefillRate rate;
+  rate.Learn(Tokens(5000), milliseconds(100));
+  rate.Learn(Tokens(5000), milliseconds(400));  // Waited for others.
+  CHECK(rate.TokensPerSecond() > 49000 && rate.TokensPerSecond() <= 50000);
+  for (int i = 0; i < 2000; ++i) rate.Learn(Tokens(5000), milliseconds(200));
+  CHECK(rate.TokensPerSecond() < 26000);
+}
+
+TEST_GROUP(EngineRooms) {
+  Reservation Prompt(uint64_t request, int64_t tokens) {
+    Reservation reservation;
+    reservation.attempt = Attempt(request);
+    reservation.prompt = Tokens(tokens);
+    return reservation;
+  }
+  TimePoint m_now{seconds(100)};
+};
+
+TEST(EngineRooms, PrefillTakesFewPromptsAtATime) {
+  PrefillRoom room;
+  CHECK(room.TryTake(Prompt(1, 5000), false, m_now));
+  CHECK(room.TryTake(Prompt(2, 5000), false, m_now));
+  CHECK(!room.TryTake(Prompt(3, 5000), false, m_now));
+  room.Release(Attempt(1), m_now + milliseconds(100));
+  CHECK(room.TryTake(Prompt(3, 5000), false, m_now));
+}
+
+TEST(EngineRooms, SmallPromptsShareATurn) {
+  PrefillRoom room;
+  for (int i = 1; i <= 10; ++i) {
+    CHECK(room.TryTake(Prompt(i, 100), false, m_now));
+  }
+}
+
+TEST(EngineRooms, ATurnOfASilentEntryEnds) {
+  PrefillRoom room;
+  room.TryTake(Prompt(1, 5000), false, m_now);
+  room.Expire(m_now + seconds(3));
+  LONGS_EQUAL(0, room.Turns());
+}
+
+TEST(EngineRooms, LateRequestsLeaveSomeMemoryToOthers) {
+  EngineLedger ledger;
+  ledger.SetCapacity(Tokens(100000), 64);
+  DecodeRoom room(&ledger);
+  int late = 0;
+  while (late < 64 && room.TryTake(Prompt(++late, 5000), true, m_now)) {
+  }
+  CHECK(room.TryTake(Prompt(100, 5000), false, m_now));
+}
+
+TEST_GROUP(PoolBalance) {
+  void Register(const std::string& name, EngineRole role) {
+    RegisteredUpstream upstream = MakeEngine(name, role);
+    upstream.revision = ++m_revision;
+    m_directory.ApplyUpdate(upstream);
+  }
+  // Which of the engines would be ordered to change once all have settled.
+  std::map<std::string, EngineRole> Plans() {
+    std::map<std::string, EngineRole> plans;
+    for (const auto& [name, upstream] : m_directory.All()) {
+      PoolBalance balance;
+      balance.SetEngineSize({Tokens(100000), 64});
+      balance.Decide(m_directory, name, m_now);
+      const auto role = balance.Decide(m_directory, name, m_now + seconds(2));
+      if (role.has_value()) plans[name.Value()] = *role;
+    }
+    return plans;
+  }
+
+  TimePoint m_now{seconds(100)};
+  uint64_t m_revision = 0;
+  UpstreamDirectory m_directory;
+};
+
+TEST(PoolBalance, TheSurplusAndNoMoreIsTurned) {
+  for (const char* name : {"a", "b", "c", "d"}) {
+    Register(name, EngineRole::kPrefill);
+  }
+  for (const char* name : {"e", "f", "g", "h", "i"}) {
+    Register(name, EngineRole::kDecode);
+  }
+  const auto plans = Plans();
+  LONGS_EQUAL(1, plans.size());
+  CHECK(plans.begin()->second == EngineRole::kDecode);
+}
+
+TEST(PoolBalance, EnginesWithLessMemoryNeedFewerPrefillEngines) {
+  const double large = PoolBalance::PrefillShare({Tokens(100000), 64});
+  const double small = PoolBalance::PrefillShare({Tokens(70000), 64});
+  const double few_slots = PoolBalance::PrefillShare({Tokens(100000), 4});
+  CHECK(large > 0.29 && large < 0.36);
+  CHECK(small > 0.2 && small < large);
+  CHECK(few_slots < small);
+}
+
+TEST(PoolBalance, AMissingPoolIsFilled) {
+  for (const char* name : {"a", "b", "c"}) Register(name, EngineRole::kDecode);
+  const auto plans = Plans();
+  LONGS_EQUAL(1, plans.size());
+  CHECK(plans.at("a") == EngineRole::kPrefill);
+}
+
+TEST(PoolBalance, NeverTakesTheLastEngineOfARole) {
+  Register("a", EngineRole::kPrefill);
+  Register("b", EngineRole::kDecode);
+  CHECK(Plans().empty());
+}
+
+TEST(PoolBalance, WaitsUntilTheListIsSteady) {
+  PoolBalance balance;
+  balance.SetEngineSize({Tokens(100000), 64});
+  Register("a", EngineRole::kPrefill);
+  Register("b", EngineRole::kPrefill);
+  Register("c", EngineRole::kPrefill);
+  const UpstreamName self("c");
+  CHECK(!balance.Decide(m_directory, self, m_now).has_value());
+  // Another engine appears each second, so no plan lasts.
+  for (int i = 0; i < 5; ++i) {
+    m_now += seconds(1);
+    Register("d" + std::to_string(i), EngineRole::kDecode);
+    CHECK(!balance.Decide(m_directory, self, m_now).has_value());
+  }
+}
--- /dev/null
+++ b/tests/routing_test_support.h
@@ -0,0 +1,38 @@
+#ifndef BURDOCKHILL_TESTS_ROUTING_TEST_SUPPORT_H_
+#define BURDOCKHILL_TESTS_ROUTING_TEST_SUPPORT_H_
+
+// What the parts of routing_test share: short ways to write attempts and
+// upstreams.
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "burdockhill/routing.h"
+
+namespace burdockhill {
+
+inline AttemptId Attempt(uint64_t request, uint32_t number = 1) {
+  return {RequestId(request), number, Incarnation(7)};
+}
+
+inline RegisteredUpstream MakeUpstream(const std::string& name,
+                                       const std::string& zone = "z1") {
+  RegisteredUpstream upstream;
+  upstream.name = UpstreamName(name);
+  upstream.service = ServiceName("s");
+  upstream.address = "10.0.0.1:80";
+  upstream.zone = ZoneName(zone);
+  upstream.revision = 1;
+  return upstream;
+}
+
+inline RegisteredUpstream MakeEngine(const std::string& name, EngineRole role) {
+  RegisteredUpstream upstream = MakeUpstream(name);
+  upstream.role = role;
+  return upstream;
+}
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_TESTS_ROUTING_TEST_SUPPORT_H_
