Soak: advance the manual clock with the system clock, whatever the machine's uptime

Cause: the queue of the stand-ins was run up to the system clock's time, which counts from boot, while its manual clock starts at 1,000 s; with an uptime below that nothing was ever due. Change: the queue runs up to its own start plus the time that has passed.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -204,7 +204,9 @@
   void RunIteration() {
     m_loop.WakeAfter(std::chrono::milliseconds(5));
     m_loop.RunOnce();
-    m_queue.RunUntil(m_system_clock.Now(), [] {});
+    m_queue.RunUntil(
+        m_manual_started_at + (m_system_clock.Now() - m_system_started_at),
+        [] {});
     m_store.Tick();
     m_pool.CheckTimeouts(m_system_clock.Now());
     m_sockets.CloseLingering(m_system_clock.Now());
@@ -346,8 +348,11 @@
   }
 
   SystemClock m_system_clock;
-  // Follows the system clock, one event-loop iteration behind.
+  // Advances as the system clock does, one event-loop iteration behind. The two
+  // start at different times: the system clock counts from the machine's boot.
   ManualClock m_manual_clock;
+  TimePoint m_system_started_at = m_system_clock.Now();
+  TimePoint m_manual_started_at = m_manual_clock.Now();
   EventLoop m_loop;
   TcpSockets m_sockets{&m_loop};
   EventQueue m_queue{&m_manual_clock};
