--- a/burdockhill/src/gateway/pool_rate_exchange.cc
+++ b/burdockhill/src/gateway/pool_rate_exchange.cc
@@ -39,7 +39,10 @@
     const {
   std::map<ServiceName, Sums> sums;
   for (const auto& [name, upstream] : m_board->upstreams.All()) {
-    if (!upstream.role.has_value()) continue;
+    if (!upstream.role.has_value() ||
+        m_board->upstreams.IsSuperseded(upstream)) {
+      continue;
+    }
     const Agent* agent = m_agents.Find(AgentOf(upstream));
     if (agent == nullptr || agent->service_rate <= 0) continue;
     Sums& sum = sums[upstream.service];
--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -38,14 +38,15 @@
   if (m_directory_version == m_board->upstreams.Version()) return;
   m_directory_version = m_board->upstreams.Version();
   std::vector<UpstreamName> removed;
-  std::set<VmName> in_use;
+  m_engine_by_agent.clear();
   for (const auto& [name, upstream] : m_board->upstreams.All()) {
     if (!upstream.role.has_value()) continue;
+    if (m_board->upstreams.IsSuperseded(upstream)) continue;
     const std::optional<Address> address = ParseAddress(upstream.address);
     if (!address.has_value()) continue;
     Engine& engine = m_engines.FindOrInsert(name);
     const VmName agent(address->host);
-    in_use.insert(agent);
+    m_engine_by_agent[agent] = name;
     if (engine.agent == agent) continue;
     engine.agent = agent;
     engine.agent_connected = false;
@@ -54,27 +55,20 @@
   }
   std::set<VmName> unused;
   for (const auto& [name, engine] : m_engines) {
-    if (m_board->upstreams.Find(name) != nullptr) continue;
+    const RegisteredUpstream* upstream = m_board->upstreams.Find(name);
+    if (upstream != nullptr && !m_board->upstreams.IsSuperseded(*upstream)) {
+      continue;
+    }
     removed.push_back(name);
-    if (!in_use.contains(engine.agent)) unused.insert(engine.agent);
+    if (!m_engine_by_agent.contains(engine.agent)) unused.insert(engine.agent);
   }
   for (const UpstreamName& name : removed) m_engines.Erase(name);
   for (const VmName& agent : unused) m_peers->Disconnect(agent);
 }
 
 UpstreamName Reservations::FindEngine(const VmName& agent) const {
-  // A restarted engine has a new name on the same VM; the latest registration
-  // is the one that runs.
-  UpstreamName best;
-  uint64_t best_revision = 0;
-  for (const auto& [name, engine] : m_engines) {
-    if (engine.agent != agent) continue;
-    const RegisteredUpstream* upstream = m_board->upstreams.Find(name);
-    if (upstream == nullptr || upstream->revision < best_revision) continue;
-    best = name;
-    best_revision = upstream->revision;
-  }
-  return best;
+  const auto found = m_engine_by_agent.find(agent);
+  return found == m_engine_by_agent.end() ? UpstreamName() : found->second;
 }
 
 int64_t Reservations::PlacementCost(const RegisteredUpstream& upstream,
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKHILL_SRC_GATEWAY_RESERVATIONS_H_
 #define BURDOCKHILL_SRC_GATEWAY_RESERVATIONS_H_
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -157,6 +158,7 @@
   uint32_t m_last_attempt_number = 0;
   uint64_t m_directory_version = 0;
   Table<UpstreamName, Engine> m_engines;
+  std::map<VmName, UpstreamName> m_engine_by_agent;
   Table<AttemptId, ActiveReservation> m_active_reservations;
 };
 
--- a/burdockhill/src/routing/kv_cache_ledger.cc
+++ b/burdockhill/src/routing/kv_cache_ledger.cc
@@ -17,9 +17,10 @@
 // Standard deviations of the projected memory use that are kept free, so that
 // the engine preempts runs only rarely.
 constexpr double kMarginDeviations = 2.0;
-// Points of a projection, in further output tokens of each run.
-constexpr int64_t kProjectionStepTokens = 400;
-constexpr int64_t kProjectionEndTokens = 6000;
+// End of a projection, as a multiple of the longest estimated output, and the
+// number of steps to it.
+constexpr double kProjectionEndRatio = 1.5;
+constexpr int64_t kProjectionSteps = 15;
 
 }  // namespace
 
@@ -98,21 +99,33 @@
                                    Tokens more) const {
   double mean = 0;
   double variance = 0;
+  double if_all_continue = 0;
   for (const ProjectedRun& run : runs) {
     const double probability = m_output_lengths.SurvivalProbability(
         run.estimated_output, run.produced, more);
     const auto size = static_cast<double>((run.kv_tokens + more).Value());
+    if (probability > 0) if_all_continue += size;
     mean += probability * size;
     variance += probability * (1 - probability) * size * size;
   }
-  return mean + kMarginDeviations * std::sqrt(variance);
+  return std::min(mean + kMarginDeviations * std::sqrt(variance),
+                  if_all_continue);
+}
+
+Tokens KvCacheLedger::ProjectionStep(const std::vector<ProjectedRun>& runs) {
+  Tokens longest(0);
+  for (const ProjectedRun& run : runs) {
+    longest = std::max(longest, run.estimated_output);
+  }
+  const double end = kProjectionEndRatio * static_cast<double>(longest.Value());
+  return Tokens(static_cast<int64_t>(end) / kProjectionSteps + 1);
 }
 
 double KvCacheLedger::PeakUse(const std::vector<ProjectedRun>& runs) const {
+  const int64_t step = ProjectionStep(runs).Value();
   double peak = 0;
-  for (int64_t more = 0; more <= kProjectionEndTokens;
-       more += kProjectionStepTokens) {
-    peak = std::max(peak, ProjectedUse(runs, Tokens(more)));
+  for (int64_t i = 0; i <= kProjectionSteps; ++i) {
+    peak = std::max(peak, ProjectedUse(runs, Tokens(i * step)));
   }
   return peak;
 }
@@ -127,11 +140,12 @@
   const auto needed = static_cast<double>(prompt.Value()) +
                       static_cast<double>(estimated_output.Value()) / 2;
   const auto limit = static_cast<double>(m_memory.Value());
-  for (int64_t more = 0; more < kProjectionEndTokens;
-       more += kProjectionStepTokens) {
-    if (ProjectedUse(runs, Tokens(more)) + needed <= limit) return Tokens(more);
+  const int64_t step = ProjectionStep(runs).Value();
+  for (int64_t i = 0; i < kProjectionSteps; ++i) {
+    const Tokens more(i * step);
+    if (ProjectedUse(runs, more) + needed <= limit) return more;
   }
-  return Tokens(kProjectionEndTokens);
+  return Tokens(kProjectionSteps * step);
 }
 
 }  // namespace burdockhill
--- a/burdockhill/src/routing/kv_cache_ledger.h
+++ b/burdockhill/src/routing/kv_cache_ledger.h
@@ -75,6 +75,8 @@
   // Projected memory use, margin included, after each run has generated `more`
   // further tokens.
   double ProjectedUse(const std::vector<ProjectedRun>& runs, Tokens more) const;
+  // Output tokens of each run between two points of a projection.
+  static Tokens ProjectionStep(const std::vector<ProjectedRun>& runs);
   double PeakUse(const std::vector<ProjectedRun>& runs) const;
 
   Tokens m_memory;
--- a/burdockhill/src/routing/upstream_directory.cc
+++ b/burdockhill/src/routing/upstream_directory.cc
@@ -39,7 +39,37 @@
   m_drop_at.erase(upstream.name);
   ++m_version;
   const UpstreamName name = upstream.name;
-  m_upstreams.insert_or_assign(name, std::move(upstream));
+  const bool has_moved = found != m_upstreams.end() &&
+                         (found->second.address != upstream.address ||
+                          found->second.service != upstream.service);
+  const auto stored =
+      m_upstreams.insert_or_assign(name, std::move(upstream)).first;
+  if (has_moved) return RebuildLatest();
+  UpdateLatest(stored->second);
+}
+
+void UpstreamDirectory::UpdateLatest(const RegisteredUpstream& upstream) {
+  UpstreamName& latest = m_latest[{upstream.service, upstream.address}];
+  const RegisteredUpstream* other = Find(latest);
+  if (other == nullptr || other->revision <= upstream.revision) {
+    latest = upstream.name;
+  }
+}
+
+void UpstreamDirectory::RebuildLatest() {
+  m_latest.clear();
+  for (const auto& [name, upstream] : m_upstreams) UpdateLatest(upstream);
+}
+
+bool UpstreamDirectory::IsSuperseded(const RegisteredUpstream& upstream) const {
+  const auto latest = m_latest.find({upstream.service, upstream.address});
+  return latest != m_latest.end() && latest->second != upstream.name;
+}
+
+void UpstreamDirectory::Drop(const UpstreamName& name) {
+  m_upstreams.erase(name);
+  ++m_version;
+  RebuildLatest();
 }
 
 void UpstreamDirectory::ApplyRemoval(const UpstreamName& name,
@@ -57,9 +87,8 @@
     m_drop_at.try_emplace(name, m_last_outage + kGracePeriod);
     return;
   }
-  m_upstreams.erase(name);
   m_drop_at.erase(name);
-  ++m_version;
+  Drop(name);
 }
 
 void UpstreamDirectory::Expire(TimePoint now) {
@@ -68,9 +97,8 @@
       ++it;
       continue;
     }
-    m_upstreams.erase(it->first);
+    Drop(it->first);
     it = m_drop_at.erase(it);
-    ++m_version;
   }
 }
 
@@ -84,7 +112,9 @@
     const ServiceName& service) const {
   std::vector<const RegisteredUpstream*> result;
   for (const auto& [name, upstream] : m_upstreams) {
-    if (upstream.service == service) result.push_back(&upstream);
+    if (upstream.service == service && !IsSuperseded(upstream)) {
+      result.push_back(&upstream);
+    }
   }
   return result;
 }
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/src/base/clock.h"
@@ -28,6 +29,10 @@
 // The registered upstreams. A registration that ends during or shortly after an
 // outage of the registry is kept for a grace period, because upstreams register
 // again when the registry has recovered.
+//
+// An upstream that restarted under a new name is registered under the old one
+// too until that expires. The older registration of a service at an address is
+// superseded: the process that it names has ended.
 class UpstreamDirectory {
  public:
   // Applies a complete list as of `revision`. Older registrations that are not
@@ -50,9 +55,12 @@
   bool HasList() const { return m_has_list; }
   const RegisteredUpstream* Find(const UpstreamName& name) const;
   // All upstreams of the service in the order of their names, including those
-  // that are leaving.
+  // that are leaving, without superseded ones.
   std::vector<const RegisteredUpstream*> FindByService(
       const ServiceName& service) const;
+  // Whether another registration of its service has its address and is newer.
+  bool IsSuperseded(const RegisteredUpstream& upstream) const;
+  // Includes superseded registrations.
   const std::map<UpstreamName, RegisteredUpstream>& All() const {
     return m_upstreams;
   }
@@ -64,8 +72,14 @@
   // Drops the registration, or schedules that if the registry had an outage
   // recently.
   void EndRegistration(const UpstreamName& name, TimePoint now);
+  void Drop(const UpstreamName& name);
+  // Makes the registration the latest at its address if no newer one is known.
+  void UpdateLatest(const RegisteredUpstream& upstream);
+  void RebuildLatest();
 
   std::map<UpstreamName, RegisteredUpstream> m_upstreams;
+  // The latest registration of each service at each address.
+  std::map<std::pair<ServiceName, std::string>, UpstreamName> m_latest;
   std::map<UpstreamName, TimePoint> m_drop_at;  // When each is dropped.
   TimePoint m_last_outage{};
   bool m_has_list = false;
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -249,12 +249,22 @@
     if (registration.role == m_runners[i]->Role()) continue;
     registration.role = m_runners[i]->Role();
     ++registration.revision;
-    for (const auto& agent : m_agents) {
-      agent->directory.ApplyUpdate(registration);
-    }
-    for (const auto& entry : m_entries) {
-      entry->board.upstreams.ApplyUpdate(registration);
-    }
+    Register(registration);
+  }
+}
+
+void GatewayDeployment::Register(const RegisteredUpstream& registration) {
+  for (const auto& agent : m_agents) agent->directory.ApplyUpdate(registration);
+  for (const auto& entry : m_entries) {
+    entry->board.upstreams.ApplyUpdate(registration);
+  }
+}
+
+void GatewayDeployment::RegisterRunnersAgain() {
+  for (RegisteredUpstream& registration : m_registrations) {
+    registration.name = UpstreamName(registration.name.Value() + "-again");
+    ++registration.revision;
+    Register(registration);
   }
 }
 
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -84,6 +84,9 @@
   // Closes the connection of the caller of request `id`.
   void DisconnectCaller(const std::string& id);
   void CrashDecodeRunner(int index);
+  // Registers each runner under a second, newer name, as after a restart while
+  // the registry still has the old name.
+  void RegisterRunnersAgain();
 
   TimePoint Now() const { return m_clock.Now(); }
   void RunFor(Duration time);
@@ -109,6 +112,7 @@
   void TickAll();
   // Registers each runner whose role has changed with its new role.
   void UpdateRegistrations();
+  void Register(const RegisteredUpstream& registration);
 
   Options m_options;
   ManualClock m_clock;
--- a/tests/registry_load_test.cc
+++ b/tests/registry_load_test.cc
@@ -247,6 +247,23 @@
   CheckEverythingIsReleased(deployment);
 }
 
+// Engines that have restarted are registered under their old names as well. An
+// agent then must not be asked under both: the entry would take one grant and
+// cancel the other, which is the same.
+TEST(RegistryLoad, RestartedEnginesKeepTheirReservations) {
+  GatewayDeployment deployment({});
+  deployment.RegisterRunnersAgain();
+  deployment.RunFor(seconds(1));
+  deployment.GenerateLoad(45, seconds(5));
+  deployment.RunFor(seconds(16));
+  const Summary summary = Summarize(deployment.Results());
+  LONGS_EQUAL(225, summary.sent);
+  CHECK(deployment.Counts().preemptions * 20 <= summary.on_time + summary.late);
+  CHECK(summary.failed == 0);
+  CheckInvariants(&deployment);
+  CheckEverythingIsReleased(deployment);
+}
+
 TEST(RegistryLoad, RefusesRequestsWithinAFewSeconds) {
   GatewayDeployment deployment({});
   deployment.GenerateLoad(60, seconds(4));
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -78,6 +78,34 @@
   CHECK(m_directory.Find(UpstreamName("u")) != nullptr);
 }
 
+TEST(UpstreamDirectory, ARestartedUpstreamSupersedesItsOldRegistration) {
+  const ServiceName service("s");
+  RegisteredUpstream before = MakeUpstream("a");
+  RegisteredUpstream after = MakeUpstream("b");
+  after.address = before.address;
+  after.revision = 7;
+  m_directory.ApplyUpdate(after);
+  m_directory.ApplyUpdate(before);
+  LONGS_EQUAL(1, m_directory.FindByService(service).size());
+  CHECK(m_directory.FindByService(service).front()->name == after.name);
+  CHECK(m_directory.IsSuperseded(*m_directory.Find(before.name)));
+  // Another service at the same address hides nothing.
+  RegisteredUpstream strange = MakeUpstream("c");
+  strange.service = ServiceName("t");
+  strange.address = before.address;
+  strange.revision = 9;
+  m_directory.ApplyUpdate(strange);
+  LONGS_EQUAL(1, m_directory.FindByService(service).size());
+  // The old process has moved, or the new one has ended.
+  before.address = "elsewhere:80";
+  before.revision = 8;
+  m_directory.ApplyUpdate(before);
+  LONGS_EQUAL(2, m_directory.FindByService(service).size());
+  m_directory.ApplyRemoval(after.name, 9, m_now);
+  LONGS_EQUAL(1, m_directory.FindByService(service).size());
+  CHECK(m_directory.FindByService(service).front()->name == before.name);
+}
+
 TEST(UpstreamDirectory, AnEndedRegistrationIsDroppedAtOnce) {
   m_directory.ApplyUpdate(MakeUpstream("u"));
   m_directory.ApplyRemoval(UpstreamName("u"), 2, m_now);
--- a/tests/routing_test_engines.cc
+++ b/tests/routing_test_engines.cc
@@ -76,6 +76,21 @@
   CHECK(overflows * 4 < kFills);
 }
 
+// The same for outputs that are short against the prompts.
+TEST(KvCacheLedger, AnEngineFullOfShortOutputsSeldomRunsOutOfMemory) {
+  constexpr int64_t kPrompt = 5000;
+  constexpr int64_t kEstimate = 600;
+  m_ledger.SetCapacity(Tokens(41000), 64);
+  int admitted = 0;
+  while (m_ledger.Fits(Tokens(kPrompt), Tokens(kEstimate)) && admitted < 64) {
+    m_ledger.Reserve(MakeAttempt(++admitted), Tokens(kPrompt),
+                     Tokens(kEstimate), m_now);
+  }
+  // No run has ended after 200 tokens: all of them are held at that time.
+  CHECK(admitted * (kPrompt + 200) <= 41000);
+  CHECK(admitted >= 7);
+}
+
 TEST(KvCacheLedger, CountsExpectedGrowth) {
   // Fifteen prompts fit as they are, but not as they grow.
   for (int i = 1; i <= 15; ++i) {
--- a/tests/routing_test_support.h
+++ b/tests/routing_test_support.h
@@ -20,7 +20,7 @@
   RegisteredUpstream upstream;
   upstream.name = UpstreamName(name);
   upstream.service = ServiceName("s");
-  upstream.address = "10.0.0.1:80";
+  upstream.address = name + ":80";
   upstream.zone = ZoneName(zone);
   upstream.revision = 1;
   return upstream;
