--- a/burdockhill/src/routing/kv_cache_ledger.cc
+++ b/burdockhill/src/routing/kv_cache_ledger.cc
@@ -16,11 +16,11 @@
 constexpr double kUnreservedOutputShare = 0.3;
 // Standard deviations of the projected memory use that are kept free, so that
 // the engine preempts runs only rarely.
-constexpr double kMarginDeviations = 2.0;
-// End of a projection, as a multiple of the longest estimated output, and the
+constexpr double kMarginDeviations = 2.3;
+// End of a projection, as a multiple of the mean estimated output, and the
 // number of steps to it.
 constexpr double kProjectionEndRatio = 1.5;
-constexpr int64_t kProjectionSteps = 15;
+constexpr int64_t kProjectionSteps = 24;
 
 }  // namespace
 
@@ -104,7 +104,7 @@
     const double probability = m_output_lengths.SurvivalProbability(
         run.estimated_output, run.produced, more);
     const auto size = static_cast<double>((run.kv_tokens + more).Value());
-    if (probability > 0) if_all_continue += size;
+    if_all_continue += size;
     mean += probability * size;
     variance += probability * (1 - probability) * size * size;
   }
@@ -113,12 +113,13 @@
 }
 
 Tokens KvCacheLedger::ProjectionStep(const std::vector<ProjectedRun>& runs) {
-  Tokens longest(0);
-  for (const ProjectedRun& run : runs) {
-    longest = std::max(longest, run.estimated_output);
-  }
-  const double end = kProjectionEndRatio * static_cast<double>(longest.Value());
-  return Tokens(static_cast<int64_t>(end) / kProjectionSteps + 1);
+  Tokens sum(0);
+  for (const ProjectedRun& run : runs) sum += run.estimated_output;
+  const double mean = static_cast<double>(sum.Value()) /
+                      static_cast<double>(std::max<size_t>(runs.size(), 1));
+  return Tokens(static_cast<int64_t>(kProjectionEndRatio * mean) /
+                    kProjectionSteps +
+                1);
 }
 
 double KvCacheLedger::PeakUse(const std::vector<ProjectedRun>& runs) const {
