Entries take the best engine of a random sample; changes of upstreams are collected

Cause 1: every entry asked the engine that was best in its last report, which is 100 to 500 ms old. Change 1: the best of a random sample (the square root of the engines) goes first. Change 2: after a change an entry waits two fifths of the drain time, a new setting, before it watches again; leaving upstreams are still noticed within half of it.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -30,12 +30,26 @@
 constexpr Duration kAgentListInterval = std::chrono::milliseconds(1200);
 
 ObjectFeed::Options FeedOptions(const std::string& name,
-                                const GatewaySettings& settings,
-                                Duration list_interval = Duration(0)) {
+                                const GatewaySettings& settings) {
   ObjectFeed::Options options;
   options.name = name;
   options.address = settings.store;
-  options.list_interval = list_interval;
+  return options;
+}
+
+// Options of an entry's feed of upstreams. Every change of an upstream ends a
+// watch call of every entry, so that changes that come in series are collected.
+// An upstream that leaves is noticed within less than half of the time in which
+// it may still get requests, which leaves the rest for failed calls.
+ObjectFeed::Options UpstreamFeedOptions(const GatewaySettings& settings) {
+  ObjectFeed::Options options = FeedOptions("upstreams", settings);
+  options.watch_delay = settings.drain_time * 2 / 5;
+  return options;
+}
+
+ObjectFeed::Options AgentFeedOptions(const GatewaySettings& settings) {
+  ObjectFeed::Options options = FeedOptions("upstreams", settings);
+  options.list_interval = kAgentListInterval;
   return options;
 }
 
@@ -169,7 +183,7 @@
                             &configuration_calls, &context.pool, &context.clock,
                             &context.random, &context.log,
                             &caching_configurations);
-  ObjectFeed registrations(FeedOptions("upstreams", settings), &upstream_calls,
+  ObjectFeed registrations(UpstreamFeedOptions(settings), &upstream_calls,
                            &context.pool, &context.clock, &context.random,
                            &context.log, &caching_registrations);
   context.log.Write("started", {{"role", std::string("entry")},
@@ -228,10 +242,9 @@
   UpstreamDirectory directory;
   UpstreamDirectoryUpdater upstream_updater(&directory, &object_codec,
                                             &context.clock, &context.log);
-  ObjectFeed registrations(
-      FeedOptions("upstreams", settings, kAgentListInterval), &upstream_calls,
-      &context.pool, &context.clock, &context.random, &context.log,
-      &upstream_updater);
+  ObjectFeed registrations(AgentFeedOptions(settings), &upstream_calls,
+                           &context.pool, &context.clock, &context.random,
+                           &context.log, &upstream_updater);
   EngineAgent agent({settings.vm, settings.engine}, &engine_codec, &directory,
                     &context.pool, &context.peers, &context.clock,
                     &context.log);
--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -1,6 +1,7 @@
 #include "burdockhill/src/gateway/reservations.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace burdockhill {
@@ -27,6 +28,20 @@
 // Cost of an engine in another availability zone, as tokens of memory.
 constexpr int64_t kOtherZoneCostTokens = 1500;
 
+// Moves a random sample to the front and returns its size. All entries see the
+// same reports, which are some 100 ms old: if each took the best engine of all,
+// they would all send their requests to one engine until its next report.
+template <typename T>
+size_t DrawSample(std::vector<T>* items, Random* random) {
+  const size_t count = items->size();
+  const auto size =
+      static_cast<size_t>(std::ceil(std::sqrt(static_cast<double>(count))));
+  for (size_t i = 0; i < size; ++i) {
+    std::swap((*items)[i], (*items)[i + random->UniformBelow(count - i)]);
+  }
+  return size;
+}
+
 }  // namespace
 
 AttemptId Reservations::NewAttempt(const std::string& caller_id) {
@@ -107,8 +122,11 @@
   // If every engine is in backoff, those below the longest backoff are used:
   // an engine that fails some calls is better than none.
   if (usable.empty()) usable = std::move(in_backoff);
-  std::sort(usable.begin(), usable.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
+  const auto preferred =
+      usable.begin() +
+      static_cast<std::ptrdiff_t>(DrawSample(&usable, m_board->random));
+  std::sort(usable.begin(), preferred);
+  std::sort(preferred, usable.end());
   std::vector<UpstreamName> ranked;
   ranked.reserve(usable.size());
   for (auto& [cost, name] : usable) ranked.push_back(std::move(name));
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -122,7 +122,7 @@
 
   // Connects to the agents of new engines and drops those of removed ones.
   void SyncWithDirectory();
-  // Engines that may be used, the best first.
+  // Engines that may be used: the best of a random sample first.
   std::vector<UpstreamName> RankEngines(const ActiveReservation& active) const;
   // Cost of placing another request on this engine; the lowest is the best.
   static int64_t PlacementCost(const RegisteredUpstream& upstream,
--- a/burdockhill/src/gateway/settings.cc
+++ b/burdockhill/src/gateway/settings.cc
@@ -77,6 +77,8 @@
     out.retry_limits.ratio = static_cast<double>(percent) / kPercent;
     reader.ReadMilliseconds("retry_window_ms", Presence::kOptional,
                             &out.retry_limits.window);
+    reader.ReadMilliseconds("drain_time_ms", Presence::kOptional,
+                            &out.drain_time);
   } else {
     ReadAddress(&reader, "engine", Presence::kRequired, &out.engine);
   }
--- a/burdockhill/src/gateway/settings.h
+++ b/burdockhill/src/gateway/settings.h
@@ -33,6 +33,9 @@
   std::string metrics;    // Address for metrics; optional.
   RetryBudget::Limits retry_limits;
   std::vector<std::string> seeds;  // IP numbers of entries to connect to.
+  // Time after the registration of an upstream as leaving in which it may still
+  // get new requests.
+  Duration drain_time = std::chrono::milliseconds(500);
 
   // Agent only.
   std::string engine;  // Address of the engine on this VM.
--- a/tests/registry_load_test.cc
+++ b/tests/registry_load_test.cc
@@ -247,6 +247,27 @@
   CheckEverythingIsReleased(deployment);
 }
 
+// Many entries with few requests each, at 90 % of what the decode engines'
+// memory carries. If all entries took the engine that was best in its last
+// report, streams would queue there while other engines have free memory.
+TEST(RegistryLoad, ManyEntriesSpreadTheirRequests) {
+  for (const uint64_t seed : {1, 3}) {
+    GatewayDeployment::Options options;
+    options.entries = 60;
+    options.prefill_runners = 12;
+    options.decode_runners = 36;
+    options.seed = seed;
+    GatewayDeployment deployment(options);
+    deployment.GenerateLoad(78, seconds(6));
+    deployment.RunFor(seconds(16));
+    const Summary summary = Summarize(deployment.Results());
+    LONGS_EQUAL(468, summary.sent);
+    CHECK(summary.on_time * 100 >= 99 * summary.sent);
+    CheckInvariants(&deployment);
+    CheckEverythingIsReleased(deployment);
+  }
+}
+
 // Engines that have restarted are registered under their old names as well. An
 // agent then must not be asked under both: the entry would take one grant and
 // cancel the other, which is the same.
