Best whole number of prefill engines; an engine whose KV caches are lost is avoided

Cause 1: the number of prefill engines was a rounded share, with the same headroom for two engines as for twenty. Change 1: the whole number with the highest capacity, with 0.6 of its square root kept free. Cause 2: a finished prefill ended the backoff of its engine, although its KV cache then did not arrive, as over a slow link: the engine was asked again at once. Change 2: an engine has succeeded when the stream's first event has come. Cause 3: a sample of the square root of six engines is three, too few to find a good one. Change 3: at least five are looked at.

--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -28,14 +28,18 @@
 // Cost of an engine in another availability zone, as tokens of memory.
 constexpr int64_t kOtherZoneCostTokens = 1500;
 
+constexpr size_t kMinSampleSize = 5;
+
 // Moves a random sample to the front and returns its size. All entries see the
 // same reports, which are some 100 ms old: if each took the best engine of all,
 // they would all send their requests to one engine until its next report.
 template <typename T>
 size_t DrawSample(std::vector<T>* items, Random* random) {
   const size_t count = items->size();
-  const auto size =
-      static_cast<size_t>(std::ceil(std::sqrt(static_cast<double>(count))));
+  // Of a few engines, nearly all: a good choice matters more than spreading.
+  const size_t size = std::clamp(
+      static_cast<size_t>(std::ceil(std::sqrt(static_cast<double>(count)))),
+      std::min(count, kMinSampleSize), count);
   for (size_t i = 0; i < size; ++i) {
     std::swap((*items)[i], (*items)[i + random->UniformBelow(count - i)]);
   }
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -265,6 +265,10 @@
                       LabelsFor(stream->routed.service))
         ->Add(std::chrono::duration<double>(latency).count());
     m_reservations->RecordSuccess(stream->decode_engine);
+    // Only now is it known that the KV cache has arrived.
+    if (stream->kv_in_call.has_value()) {
+      m_reservations->RecordSuccess(stream->prefill_engine);
+    }
     // The prompt has been computed, also if the decode engine did it.
     ReleasePrefill(stream);
     stream->first_event_at = now;
@@ -303,7 +307,6 @@
         stream, /*was_sent=*/true,
         "prefill status " + std::to_string(stream->response_head.status));
   }
-  m_reservations->RecordSuccess(stream->prefill_engine);
   m_prefill_rate.AddSample(stream->routed.request.prompt_tokens,
                            m_board->clock->Now() - stream->call_started_at);
   stream->kv = m_board->codec->DecodePrefill(*upstream, stream->response_body);
--- a/burdockhill/src/routing/pool_balance.h
+++ b/burdockhill/src/routing/pool_balance.h
@@ -18,8 +18,9 @@
 // an engine has changed its role, does not change the plan.
 class PoolBalance {
  public:
-  // Share of a service's engines that should be prefill engines.
-  static double PrefillShare(const PoolRates& rates);
+  // The number of prefill engines out of `engine_count`, of two or more, with
+  // which the service can serve the most requests.
+  static int BestPrefillCount(const PoolRates& rates, int engine_count);
 
   void SetRates(const PoolRates& rates) { m_rates = rates; }
 
@@ -41,9 +42,10 @@
     bool operator==(const Plan&) const = default;
   };
 
-  // Requests a second that both pools can serve, with some headroom for
-  // prefill.
-  double Capacity(int engine_count, int prefill_count) const;
+  // Requests a second that both pools can serve, with some prefill engines kept
+  // free for bursts.
+  static double Capacity(const PoolRates& rates, int engine_count,
+                         int prefill_count);
   Plan MakePlan(const UpstreamDirectory& directory,
                 const UpstreamName& self) const;
 
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -204,6 +204,7 @@
     runner.prefill_overhead = options.prefill_overhead;
     runner.tokens_per_event = options.tokens_per_event;
     runner.ignores_orders = options.ignores_orders;
+    runner.loses_kv = i == 0 && options.first_runner_loses_kv;
     runner.lose_every_nth_prefill = options.lose_every_nth_prefill;
     m_runners.push_back(std::make_unique<ModelRunnerFake>(
         runner, &m_socket_network, &m_queue, &m_clock, &m_handles, &m_counts));
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -63,6 +63,7 @@
     int decode_runners = 6;
     RequestKind kind = RequestKind::kStream;
     int lose_every_nth_prefill = 0;  // See ModelRunnerFake::Options.
+    bool first_runner_loses_kv = false;
     // Range of the callers' output estimates, in tokens; uniformly distributed.
     int64_t min_output_estimate = 3000;
     int64_t max_output_estimate = 5500;
--- a/emulation/model_runner_fake.cc
+++ b/emulation/model_runner_fake.cc
@@ -127,10 +127,11 @@
     if (m_crashed) return;
     const std::string handle =
         m_options.address + "-" + std::to_string(++m_last_number);
-    m_handles->insert(handle);
+    if (!m_options.loses_kv) m_handles->insert(handle);
     m_queue->Schedule(kKvHandleLifetime,
                       [this, handle] { m_handles->erase(handle); });
     ++m_prefill_count;
+    ++m_counts->prompts_computed;
     if (m_options.lose_every_nth_prefill > 0 &&
         m_prefill_count % m_options.lose_every_nth_prefill == 0) {
       m_server.Abort(prompt.id);
--- a/emulation/model_runner_fake.h
+++ b/emulation/model_runner_fake.h
@@ -21,6 +21,7 @@
   std::map<std::string, int>
       starts_by_request;  // Number of starts, by request id.
   int kv_handles_consumed = 0;
+  int prompts_computed = 0;  // By prefill runners.
 };
 
 // A model engine that serves the platform's calls. A prefill runner computes
@@ -44,6 +45,8 @@
     // Every n-th prefill response is lost: the connection is reset after the
     // prompt was computed. 0 loses none.
     int lose_every_nth_prefill = 0;
+    // The KV caches of its prompts are lost before another runner has them.
+    bool loses_kv = false;
   };
 
   ModelRunnerFake(const Options& options, Sockets* sockets, EventQueue* queue,
--- a/tests/registry_load_test.cc
+++ b/tests/registry_load_test.cc
@@ -169,6 +169,29 @@
   }
 }
 
+// A prefill engine whose KV caches do not arrive, as over a slow link, computes
+// prompts in vain. It is soon asked rarely, although its prefill calls succeed.
+TEST(RegistryLoad, AnEngineWhoseKvCachesAreLostComputesFewPrompts) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    GatewayDeployment::Options options;
+    options.first_runner_loses_kv = true;
+    options.seed = seed;
+    GatewayDeployment deployment(options);
+    deployment.GenerateLoad(14, seconds(8));
+    deployment.RunFor(seconds(16));
+    const Summary summary = Summarize(deployment.Results());
+    LONGS_EQUAL(112, summary.sent);
+    const RunnerCounters& counts = deployment.Counts();
+    const int in_vain = counts.prompts_computed - counts.kv_handles_consumed;
+    // Three entries, each with a few tries before the backoff is at its limit
+    // of 2 s, and one try in 2 s from then on.
+    CHECK(in_vain <= 3 * (5 + 4));
+    CHECK(summary.on_time * 100 >= 90 * summary.sent);
+    CheckInvariants(&deployment);
+    CheckEverythingIsReleased(deployment);
+  }
+}
+
 // Short outputs on engines with an expensive first step: one prefill engine of
 // nine computes fewer prompts than the callers send.
 TEST(RegistryLoad, EnginesMoveToPrefillForShortOutputs) {
