Bytes without end are bounded; timeouts of streams follow their route's targets

Cause 1: a body of an engine without the end of an event was collected until the process ran out of memory; so were answers to an agent's and a feed's calls. Cause 2: a resumable stream without an event for 1.2 s was moved to another engine, and a prefill call without an answer for 2 s was cancelled, whatever the route allows: slow but sound streams were cut where the target for pauses is longer. Change: an event of over 1 MB ends the stream as malformed, answers are cut to 4 and 16 MB; the timeouts are at least four gap targets and two latency targets.

--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -14,6 +14,8 @@
 // The engine counts as lost if its last report is older.
 constexpr Duration kMaxReportAge = std::chrono::milliseconds(400);
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(1500);
+// Bytes of a response beyond this are dropped, so that it cannot be decoded.
+constexpr size_t kMaxResponseBytes = size_t{4} << 20;
 // Minimum time between two orders, whatever the outcome of the first.
 constexpr Duration kMinOrderInterval = std::chrono::milliseconds(2000);
 // Minimum and maximum time between load reports.
@@ -46,7 +48,7 @@
 
 void EngineAgent::EngineCall::OnResponseBody(http::CallId /*id*/,
                                              std::string_view bytes) {
-  body.append(bytes);
+  if (body.size() < kMaxResponseBytes) body.append(bytes);
 }
 
 void EngineAgent::EngineCall::OnResponseEnd(http::CallId /*id*/) {
--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -12,6 +12,9 @@
 // Time for the store to answer under load, in addition to the time for which
 // it holds a watch.
 constexpr Duration kResponseTimeout = std::chrono::milliseconds(1000);
+// Bytes of a page beyond this are dropped, so that it cannot be decoded. The
+// store's pages are about 1 MB.
+constexpr size_t kMaxPageBytes = size_t{16} << 20;
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1200);
 constexpr int kMaxBackoffDoublings = 3;
@@ -65,7 +68,7 @@
 }
 
 void ObjectFeed::OnResponseBody(http::CallId /*id*/, std::string_view bytes) {
-  m_body.append(bytes);
+  if (m_body.size() < kMaxPageBytes) m_body.append(bytes);
 }
 
 void ObjectFeed::OnCallFailed(http::CallId /*id*/,
--- a/burdockhill/src/gateway/sse_event_splitter.h
+++ b/burdockhill/src/gateway/sse_event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKHILL_SRC_GATEWAY_SSE_EVENT_SPLITTER_H_
 #define BURDOCKHILL_SRC_GATEWAY_SSE_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,9 @@
   // Discards an incomplete event. A resumed stream sends it again.
   void DiscardPartial() { m_partial.clear(); }
 
+  // Bytes of the incomplete event.
+  size_t PartialSize() const { return m_partial.size(); }
+
   // The id of the last complete event that had one.
   std::optional<int64_t> LastEventId() const { return m_last_event_id; }
   int64_t Count() const { return m_event_count; }
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -7,11 +7,14 @@
 
 namespace {
 
-// A prefill call without a complete response is cancelled after this time.
-constexpr Duration kPrefillTimeout = std::chrono::milliseconds(2000);
-// A resumable stream without a new event for this long is resumed on another
-// engine.
-constexpr Duration kEventTimeout = std::chrono::milliseconds(1200);
+// A prefill call without a complete response is cancelled after the longer of
+// this time and this many latency targets.
+constexpr Duration kMinPrefillTimeout = std::chrono::milliseconds(2000);
+constexpr int kPrefillTimeoutTargets = 2;
+// A resumable stream without a new event for the longer of this time and this
+// many gap targets is resumed on another engine.
+constexpr Duration kMinEventTimeout = std::chrono::milliseconds(1200);
+constexpr int kEventTimeoutGaps = 4;
 constexpr int kMaxPrefillCalls = 3;
 constexpr int kMaxDecodeCalls = 4;
 // Reading from the engine pauses when more bytes to the caller are queued here,
@@ -20,6 +23,9 @@
 // A response that is no stream is buffered; bytes beyond this size are dropped.
 constexpr size_t kMaxResponseBytes = size_t{1} << 20;
 
+// A stream whose next event does not end within this size is not understood.
+constexpr size_t kMaxEventBytes = size_t{1} << 20;
+
 // Priorities range from 0, the most urgent, to this.
 constexpr int kLowestPriority = 9;
 
@@ -27,6 +33,15 @@
   return static_cast<uint8_t>(std::clamp(route.priority, 0, kLowestPriority));
 }
 
+Duration PrefillTimeout(const Route& route) {
+  return std::max(kMinPrefillTimeout,
+                  kPrefillTimeoutTargets * route.latency_target);
+}
+
+Duration EventTimeout(const Route& route) {
+  return std::max(kMinEventTimeout, kEventTimeoutGaps * route.gap_target);
+}
+
 }  // namespace
 
 void StreamCalls::Begin(RoutedRequest routed) {
@@ -257,6 +272,10 @@
   const TimePoint now = m_board->clock->Now();
   const bool first = stream->events.Count() == 0;
   const std::string complete_events = stream->events.Append(bytes);
+  if (stream->events.PartialSize() > kMaxEventBytes) {
+    m_board->connections->Cancel(id);
+    return OnCallFailed(id, http::CallFailure::kMalformed);
+  }
   if (complete_events.empty()) return;
   if (first) {
     const Duration latency = now - stream->routed.arrived_at;
@@ -531,11 +550,12 @@
     if (now >= stream.routed.deadline) {
       timed_out.push_back(id);
     } else if (stream.phase == Phase::kPrefilling &&
-               now - stream.call_started_at > kPrefillTimeout) {
+               now - stream.call_started_at >
+                   PrefillTimeout(stream.routed.route)) {
       slow_prefills.push_back(stream.call);
     } else if (stream.phase == Phase::kDecoding &&
                stream.routed.route.kind == RequestKind::kResumableStream &&
-               now - stream.last_event_at > kEventTimeout) {
+               now - stream.last_event_at > EventTimeout(stream.routed.route)) {
       silent_decodes.push_back(stream.call);
     }
   }
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -32,6 +32,34 @@
   CHECK(m_gateway.IsIdle());
 }
 
+// An engine in trouble may send bytes that are no event without end.
+TEST(Streams, AnEventWithoutEndEndsTheStreamWithBoundedMemory) {
+  SocketId caller;
+  const SocketId decode = StartStream("/stream/x", &caller);
+  const std::string junk(16384, 'x');
+  int chunks = 0;
+  while (m_sockets.GetConnection(decode).open && chunks < 1000) {
+    m_sockets.Inject(decode, "4000\r\n" + junk + "\r\n");
+    ++chunks;
+  }
+  CHECK(chunks <= 65);  // 1 MB.
+  CHECK(m_sockets.GetConnection(caller).was_reset);
+  CHECK(m_gateway.IsIdle());
+}
+
+// Events that are late but within their route's target are no reason to move
+// the stream to another engine.
+TEST(Streams, ASlowStreamWithinItsTargetsIsNotCut) {
+  RoutingConfiguration configuration = m_board.routes.Configuration();
+  configuration.generation = Generation(2);
+  for (Route& route : configuration.routes) route.gap_target = seconds(2);
+  m_board.routes.Apply(configuration);
+  SocketId caller;
+  const SocketId decode = StartStream("/resume/x", &caller);
+  AdvanceTime(milliseconds(1900));
+  CHECK(m_sockets.GetConnection(decode).open);
+}
+
 TEST(Streams, ResumableStreamsContinueAfterTheLastCompleteEvent) {
   SocketId caller;
   const SocketId decode = StartStream("/resume/x", &caller);
