--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -28,7 +28,9 @@
 // Cost of an engine in another availability zone, as tokens of memory.
 constexpr int64_t kOtherZoneCostTokens = 1500;
 
-constexpr size_t kMinSampleSize = 5;
+// Samples have at least this size: among a few engines, a good choice matters
+// more than spreading.
+constexpr size_t kMinSampleSize = 9;
 
 // Moves a random sample to the front and returns its size. All entries see the
 // same reports, which are some 100 ms old: if each took the best engine of all,
@@ -36,7 +38,6 @@
 template <typename T>
 size_t DrawSample(std::vector<T>* items, Random* random) {
   const size_t count = items->size();
-  // Of a few engines, nearly all: a good choice matters more than spreading.
   const size_t size = std::clamp(
       static_cast<size_t>(std::ceil(std::sqrt(static_cast<double>(count)))),
       std::min(count, kMinSampleSize), count);
--- a/burdockhill/src/routing/kv_cache_ledger.cc
+++ b/burdockhill/src/routing/kv_cache_ledger.cc
@@ -117,9 +117,8 @@
   for (const ProjectedRun& run : runs) sum += run.estimated_output;
   const double mean = static_cast<double>(sum.Value()) /
                       static_cast<double>(std::max<size_t>(runs.size(), 1));
-  return Tokens(static_cast<int64_t>(kProjectionEndRatio * mean) /
-                    kProjectionSteps +
-                1);
+  return Tokens(
+      static_cast<int64_t>(kProjectionEndRatio * mean) / kProjectionSteps + 1);
 }
 
 double KvCacheLedger::PeakUse(const std::vector<ProjectedRun>& runs) const {
--- a/tests/routing_test_engines.cc
+++ b/tests/routing_test_engines.cc
@@ -381,7 +381,7 @@
   DOUBLES_EQUAL(0, admission.RequestsPerSecond(), 0);
   // Two prompts at a time, one finished each 100 ms, with an idle second after
   // each pair.
-  for (int i = 0; i < 40; ++i) {
+  for (uint64_t i = 0; i < 40; ++i) {
     admission.TryAdmit(Prompt(2 * i, 5000), false, m_now);
     admission.TryAdmit(Prompt(2 * i + 1, 5000), false, m_now);
     m_now += milliseconds(100);
@@ -414,7 +414,7 @@
 
 TEST(EngineAdmission, OutputRateIgnoresPromptsThatAreBeingComputed) {
   OutputRateEstimator est;
-  for (int i = 0; i <= 10; ++i) {
+  for (int64_t i = 0; i <= 10; ++i) {
     // The second run's prompt is computed at 50 tokens a millisecond.
     est.AddReport({{RequestId(1), Tokens(5000 + 60 * i), 1 + i},
                    {RequestId(2), Tokens(3000 * i), 0}},
