The output rate is extrapolated to full load

Cause: at light load a run makes more tokens a second, so that a decode engine seemed to serve more requests than it does when full, and too many engines stayed on prefill until the first burst. Change: a line over the number of runs, from half-second points, gives the rate at full load.

--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -246,7 +246,8 @@
 double EngineAgent::ServiceRate() const {
   if (IsPrefillEngine()) return m_prefill_admission.RequestsPerSecond();
   return IsDecodeEngine()
-             ? m_ledger.RequestsPerSecond(m_output_rate.TokensPerSecond())
+             ? m_ledger.RequestsPerSecond(
+                   m_output_rate.TokensPerSecondAt(m_ledger.RunsAtFullLoad()))
              : 0;
 }
 
--- a/burdockhill/src/routing/kv_cache_ledger.h
+++ b/burdockhill/src/routing/kv_cache_ledger.h
@@ -45,6 +45,10 @@
   int Slots() const { return m_slots; }
   size_t RunCount() const { return m_runs.Size() + m_unreserved_runs.size(); }
 
+  // Runs that fit at a time; zero until enough runs were reserved.
+  double RunsAtFullLoad() const {
+    return m_service_rate.RunsAtFullLoad(m_memory, m_slots);
+  }
   // Requests a second that the engine can serve at full load if each run
   // generates this many tokens a second; zero until enough runs were reserved.
   double RequestsPerSecond(double output_tokens_per_second) const {
--- a/burdockhill/src/routing/service_rate.cc
+++ b/burdockhill/src/routing/service_rate.cc
@@ -14,6 +14,12 @@
 constexpr double kNewestWeight = 0.03;
 // The same for the output rate, of which there is a sample with each report.
 constexpr double kNewestReportWeight = 0.2;
+// Time over which the reports are summed up for one point of the line.
+constexpr double kPointSeconds = 0.5;
+// Variance of the number of runs below which their effect cannot be told.
+constexpr double kMinRunsVariance = 0.5;
+// Largest ratio between an extrapolated time of a token and the mean.
+constexpr double kMaxExtrapolation = 1.6;
 // Share of the memory that runs occupy on average while admission keeps an
 // engine full. The rest is kept for runs that grow beyond their estimates.
 constexpr double kUsableMemoryShare = 0.85;
@@ -60,6 +66,7 @@
   m_decoding = std::move(decoding);
   m_reported_at = now;
   if (compared == 0 || seconds <= 0) return;
+  AddToLine(compared, grown_tokens, seconds);
   const double rate = static_cast<double>(grown_tokens) / compared / seconds;
   m_tokens_per_second =
       m_tokens_per_second == 0
@@ -68,6 +75,40 @@
                 kNewestReportWeight * (rate - m_tokens_per_second);
 }
 
+void OutputRateEstimator::AddToLine(int runs, int64_t tokens, double seconds) {
+  m_seconds += seconds;
+  m_run_seconds += runs * seconds;
+  m_tokens += tokens;
+  if (m_seconds < kPointSeconds || m_tokens == 0) return;
+  const double mean_runs = m_run_seconds / m_seconds;
+  const double token_seconds = m_run_seconds / static_cast<double>(m_tokens);
+  const auto add = [](double* sum, double value) {
+    *sum = (1 - kNewestWeight) * *sum + value;
+  };
+  add(&m_weight, 1);
+  add(&m_runs, mean_runs);
+  add(&m_runs_squared, mean_runs * mean_runs);
+  add(&m_token_seconds, token_seconds);
+  add(&m_runs_token_seconds, mean_runs * token_seconds);
+  m_seconds = 0;
+  m_run_seconds = 0;
+  m_tokens = 0;
+}
+
+double OutputRateEstimator::TokensPerSecondAt(double runs) const {
+  if (m_weight <= 0) return m_tokens_per_second;
+  const double mean_runs = m_runs / m_weight;
+  const double mean_seconds = m_token_seconds / m_weight;
+  const double variance = m_runs_squared / m_weight - mean_runs * mean_runs;
+  if (variance < kMinRunsVariance) return 1 / mean_seconds;
+  const double covariance =
+      m_runs_token_seconds / m_weight - mean_runs * mean_seconds;
+  const double slope = std::max(covariance / variance, 0.0);
+  const double seconds = mean_seconds + slope * (runs - mean_runs);
+  return 1 / std::clamp(seconds, mean_seconds / kMaxExtrapolation,
+                        mean_seconds * kMaxExtrapolation);
+}
+
 void DecodeServiceRate::AddRun(Tokens prompt, Tokens estimated_output,
                                const OutputLengthModel& lengths) {
   const auto estimate = static_cast<double>(estimated_output.Value());
@@ -84,16 +125,18 @@
   m_token_steps += weight * (token_steps - m_token_steps);
 }
 
-double DecodeServiceRate::RequestsPerSecond(
-    Tokens memory, int slots, double output_tokens_per_second) const {
+double DecodeServiceRate::RunsAtFullLoad(Tokens memory, int slots) const {
   if (m_samples < kMinSamples || m_token_steps <= 0) return 0;
   const double usable_memory =
       static_cast<double>(memory.Value()) * kUsableMemoryShare;
-  const double by_memory =
-      usable_memory * output_tokens_per_second / m_token_steps;
-  if (slots <= 0) return by_memory;
-  return std::min(by_memory,
-                  slots * output_tokens_per_second / m_output_tokens);
+  const double by_memory = usable_memory * m_output_tokens / m_token_steps;
+  return slots <= 0 ? by_memory : std::min<double>(by_memory, slots);
+}
+
+double DecodeServiceRate::RequestsPerSecond(
+    Tokens memory, int slots, double output_tokens_per_second) const {
+  const double runs = RunsAtFullLoad(memory, slots);
+  return runs <= 0 ? 0 : runs * output_tokens_per_second / m_output_tokens;
 }
 
 }  // namespace burdockhill
--- a/burdockhill/src/routing/service_rate.h
+++ b/burdockhill/src/routing/service_rate.h
@@ -40,15 +40,32 @@
   int64_t events = 0;  // Sent so far; none while the prompt is computed.
 };
 
-// Measures the output tokens a second of one run, as a moving average over the
-// runs of successive reports.
+// Measures the output tokens a second of one run from successive reports: as a
+// moving average, and as a line over the number of runs, since each step of an
+// engine takes longer with every run in its batch.
 class OutputRateEstimator {
  public:
   void AddReport(const std::vector<ReportedRun>& runs, TimePoint now);
-  // Zero before the first runs.
+  // Of late; zero before the first runs.
   double TokensPerSecond() const { return m_tokens_per_second; }
+  // With this many runs. Zero before the first runs.
+  double TokensPerSecondAt(double runs) const;
 
  private:
+  // Adds a point to the line once enough time has passed.
+  void AddToLine(int runs, int64_t tokens, double seconds);
+
+  // Since the last point.
+  double m_seconds = 0;
+  double m_run_seconds = 0;
+  int64_t m_tokens = 0;
+  // Decaying sums over points of the number of runs and the time of a token.
+  double m_weight = 0;
+  double m_runs = 0;
+  double m_runs_squared = 0;
+  double m_token_seconds = 0;
+  double m_runs_token_seconds = 0;
+
   std::unordered_map<uint64_t, Tokens> m_decoding;  // In the last report.
   TimePoint m_reported_at{};
   double m_tokens_per_second = 0;
@@ -63,6 +80,8 @@
   // so far.
   void AddRun(Tokens prompt, Tokens estimated_output,
               const OutputLengthModel& lengths);
+  // Runs that fit at a time; zero until enough runs were reserved.
+  double RunsAtFullLoad(Tokens memory, int slots) const;
   // For an engine with this much memory and, unless zero, this many slots,
   // whose runs generate this many tokens a second each. Zero until enough runs
   // were reserved, and if the rate is unknown.
--- a/tests/routing_test_engines.cc
+++ b/tests/routing_test_engines.cc
@@ -424,6 +424,25 @@
   DOUBLES_EQUAL(1000, est.TokensPerSecond(), 1);
 }
 
+// An engine that was never full is not taken for a faster one.
+TEST(EngineAdmission, OutputRateIsExtrapolatedToMoreRuns) {
+  OutputRateEstimator est;
+  int64_t tokens = 5000;
+  for (int i = 0; i < 400; ++i) {
+    // Two runs for 2 s, then six runs for 2 s: 1 ms and 1.2 ms a token.
+    const uint64_t runs = i % 40 < 20 ? 2 : 6;
+    std::vector<ReportedRun> reported;
+    for (uint64_t run = 1; run <= runs; ++run) {
+      reported.push_back({RequestId(run), Tokens(tokens), 1});
+    }
+    est.AddReport(reported, m_now);
+    m_now += milliseconds(120);
+    tokens += runs == 2 ? 120 : 100;
+  }
+  DOUBLES_EQUAL(1000, est.TokensPerSecondAt(2), 30);
+  DOUBLES_EQUAL(1000 / 1.4, est.TokensPerSecondAt(10), 40);
+}
+
 TEST_GROUP(PoolBalance) {
   void Register(const std::string& name, EngineRole role) {
     RegisteredUpstream upstream = MakeEngine(name, role);
