--- a/burdockhill/src/routing/service_rate.cc
+++ b/burdockhill/src/routing/service_rate.cc
@@ -22,7 +22,7 @@
 constexpr double kMaxExtrapolation = 1.6;
 // Share of the memory that runs occupy on average while admission keeps an
 // engine full. The rest is kept for runs that grow beyond their estimates.
-constexpr double kUsableMemoryShare = 0.85;
+constexpr double kUsableMemoryShare = 0.75;
 
 }  // namespace
 
