Log and count how the responses of streams were framed

It now names the framing of the engine's response and the bytes of an unfinished event at its end, stream_broken_off names the framing, and burdockhill_streams_ended_total counts ends by framing. No change of logic.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -362,13 +362,13 @@
                : OnDecodeRejected(stream, "engine rejected it");
   }
   if (stream->is_forwarding) {
+    LogStreamEnd(*stream);
     m_board->server->WriteStream(routed.exchange,
                                  stream->events.DrainPartial());
     m_board->server->EndStream(routed.exchange);
     if (!m_board->poison_detector.IsEmpty()) {
       m_board->poison_detector.RecordCompleteResponse(routed.Fingerprint());
     }
-    LogStreamEnd(*stream);
     return FinishStream(stream);
   }
   if (stream->head_sent) return OnDecodeBroken(stream, "resume was refused");
@@ -499,11 +499,14 @@
   if (!stream->head_sent) {
     FailRequest(m_board, routed, kind, Duration(0), reason);
   } else {
-    m_board->log->Write("stream_broken_off",
-                        {{"request", routed.request.id},
-                         {"engine", stream->decode_engine.Value()},
-                         {"after_event", LastEventId(*stream)},
-                         {"reason", std::string(reason)}});
+    m_board->log->Write(
+        "stream_broken_off",
+        {{"request", routed.request.id},
+         {"engine", stream->decode_engine.Value()},
+         {"after_event", LastEventId(*stream)},
+         {"framing",
+          std::string(FramingName(FramingOf(stream->response_head)))},
+         {"reason", std::string(reason)}});
     m_board->server->Abort(routed.exchange);
   }
   FinishStream(stream);
@@ -516,6 +519,9 @@
   };
   const RoutedRequest& routed = stream.routed;
   const TimePoint now = m_board->clock->Now();
+  const auto framing = FramingName(FramingOf(stream.response_head));
+  m_board->metrics.IncrementCounter("burdockhill_streams_ended_total",
+                                    LabelsFor(routed.service, framing));
   m_board->log->Write(
       "stream_ended",
       {{"request", routed.request.id},
@@ -528,6 +534,9 @@
         milliseconds(stream.first_event_at - routed.arrived_at)},
        {"longest_gap_ms", milliseconds(stream.longest_gap)},
        {"events", stream.events.Count()},
+       {"framing", std::string(framing)},
+       {"unfinished_event_bytes",
+        static_cast<int64_t>(stream.events.PartialSize())},
        {"took_ms", milliseconds(now - routed.arrived_at)}});
 }
 
--- a/burdockhill/src/http/message.cc
+++ b/burdockhill/src/http/message.cc
@@ -102,6 +102,24 @@
   return found;
 }
 
+BodyFraming FramingOf(const Head& head) {
+  if (head.chunked) return BodyFraming::kChunked;
+  return head.content_length.has_value() ? BodyFraming::kLength
+                                         : BodyFraming::kConnection;
+}
+
+std::string_view FramingName(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kConnection:
+      return "connection";
+  }
+  return "unknown";
+}
+
 void RemoveConnectionHeaders(Headers* headers) {
   std::vector<std::string> listed_names;
   for (const Headers::Field& field : headers->Fields()) {
--- a/burdockhill/src/http/message.h
+++ b/burdockhill/src/http/message.h
@@ -63,6 +63,18 @@
   std::optional<uint64_t> content_length;
 };
 
+// What marks the end of a message's body.
+enum class BodyFraming {
+  kLength,      // Content-Length.
+  kChunked,     // The last chunk.
+  kConnection,  // Only the end of the connection; responses only.
+};
+
+// Framing of the body of a response that has one.
+BodyFraming FramingOf(const Head& head);
+// The framing in a word, for logs and metrics.
+std::string_view FramingName(BodyFraming framing);
+
 // Removes the fields that must not be forwarded to another connection: the
 // hop-by-hop fields (Connection and the fields that it lists, Keep-Alive,
 // Transfer-Encoding, TE, Trailer, Upgrade, Proxy-Connection) and those that the
