A stream that ends inside an event has been broken off, however it is framed

Cause: the entry took the end of the response for the end of the stream. A response with neither a length nor chunks ends with its connection, and an engine that crashes ends the connection too, so the parser reported a complete message. The entry then even forwarded the unfinished event and wrote the last chunk. Class: completeness inferred from a lower layer that cannot know it.

That line is written only after the parser has reported the end of the message. A truncated length or chunked body never gets there (MessageReader, ATruncatedResponseIsMalformed), so only the framing by the connection is left.

Fix: completeness of a stream is decided in one place, SseEventSplitter::EndsStream: the framing must be complete, no event may be unfinished, and an end by the connection alone needs at least one event. What does not end its stream takes the path of a broken connection: resumed where the route allows it, else the caller's connection is reset. The splitter knows all line ends of event streams (LF, CR, CRLF); with LF alone, a sound stream of another server would now count as broken. A 200 on a stream's route that is no event stream is buffered and forwarded whole.

--- a/burdockhill/src/gateway/sse_event_splitter.cc
+++ b/burdockhill/src/gateway/sse_event_splitter.cc
@@ -1,54 +1,90 @@
 #include "burdockhill/src/gateway/sse_event_splitter.h"
 
+#include <algorithm>
 #include <utility>
 
-#include "burdockhill/src/http/message.h"
-
 namespace burdockhill {
 
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kEventStreamType = "text/event-stream";
+constexpr std::string_view kLineEnds = "\r\n";
 constexpr std::string_view kIdField = "id:";
 
 }  // namespace
 
+bool IsEventStream(const http::Head& head) {
+  const std::string* type = head.headers.Find("Content-Type");
+  if (type == nullptr) return true;
+  const std::string_view media_type =
+      std::string_view(*type).substr(0, kEventStreamType.size());
+  return http::EqualsIgnoringCase(media_type, kEventStreamType);
+}
+
+void SseEventSplitter::BeginResponse() {
+  m_partial.clear();
+  m_line_start = m_scanned = 0;
+  m_after_cr = m_has_fields = false;
+  m_event_id.reset();
+  m_earlier_responses_count = m_event_count;
+}
+
 std::string SseEventSplitter::Append(std::string_view bytes) {
-  // The separator may be split over two reads, so search from the byte before.
-  const size_t overlap = m_partial.empty() ? 0 : m_partial.size() - 1;
   m_partial.append(bytes);
-  size_t start = 0;
-  size_t end = m_partial.find(kEventEnd, overlap);
-  while (end != std::string::npos) {
-    const size_t next = end + kEventEnd.size();
-    const std::string_view all = m_partial;
-    ParseEventId(all.substr(start, next - start));
-    ++m_event_count;
-    start = next;
-    end = m_partial.find(kEventEnd, start);
+  size_t complete = 0;  // End of the last complete event.
+  while (m_line_start < m_partial.size()) {
+    if (std::exchange(m_after_cr, false) && m_partial[m_line_start] == '\n') {
+      if (complete == m_line_start) ++complete;
+      ++m_line_start;
+      continue;
+    }
+    const size_t end =
+        m_partial.find_first_of(kLineEnds, std::max(m_line_start, m_scanned));
+    if (end == std::string::npos) break;
+    const std::string_view line =
+        std::string_view(m_partial).substr(m_line_start, end - m_line_start);
+    m_after_cr = m_partial[end] == '\r';
+    m_line_start = end + 1;
+    if (line.empty()) {
+      EndEvent();
+      complete = m_line_start;
+    } else {
+      ParseLine(line);
+    }
   }
-  std::string complete_events = m_partial.substr(0, start);
-  m_partial.erase(0, start);
+  std::string complete_events = m_partial.substr(0, complete);
+  m_partial.erase(0, complete);
+  m_line_start -= complete;
+  m_scanned = m_partial.size();
   return complete_events;
 }
 
 std::string SseEventSplitter::DrainPartial() {
+  m_line_start = m_scanned = 0;
   return std::exchange(m_partial, {});
 }
 
-void SseEventSplitter::ParseEventId(std::string_view event) {
-  size_t at = 0;
-  while (at < event.size()) {
-    size_t end = event.find('\n', at);
-    if (end == std::string_view::npos) end = event.size();
-    std::string_view line = event.substr(at, end - at);
-    at = end + 1;
-    if (!line.starts_with(kIdField)) continue;
-    line.remove_prefix(kIdField.size());
-    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-    while (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    if (const auto id = http::ParseNumber(line)) m_last_event_id = *id;
-  }
+bool SseEventSplitter::EndsStream(http::BodyFraming framing) const {
+  const bool inside_line = m_line_start < m_partial.size();
+  if (m_has_fields || inside_line) return false;
+  return framing != http::BodyFraming::kConnection ||
+         m_event_count > m_earlier_responses_count;
+}
+
+void SseEventSplitter::ParseLine(std::string_view line) {
+  if (line.front() == ':') return;  // A comment.
+  m_has_fields = true;
+  if (!line.starts_with(kIdField)) return;
+  line.remove_prefix(kIdField.size());
+  while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+  if (const auto id = http::ParseNumber(line)) m_event_id = *id;
+}
+
+void SseEventSplitter::EndEvent() {
+  const std::optional<int64_t> id = std::exchange(m_event_id, std::nullopt);
+  if (!std::exchange(m_has_fields, false)) return;
+  ++m_event_count;
+  if (id.has_value()) m_last_event_id = id;
 }
 
 }  // namespace burdockhill
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -248,12 +248,15 @@
   stream->response_head = head;
   if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
   stream->may_have_run = true;
-  if (head.status == http::kOk) ForwardHead(stream, head);
+  if (head.status == http::kOk && IsEventStream(head)) {
+    ForwardHead(stream, head);
+  }
   return true;
 }
 
 void StreamCalls::ForwardHead(Stream* stream, const http::Head& head) {
   stream->is_forwarding = true;
+  stream->events.BeginResponse();
   if (std::exchange(stream->head_sent, true)) return;
   http::Head response = head;
   http::RemoveConnectionHeaders(&response.headers);
@@ -269,14 +272,25 @@
     }
     return;
   }
-  const TimePoint now = m_board->clock->Now();
-  const bool first = stream->events.Count() == 0;
+  const int64_t earlier_events = stream->events.Count();
   const std::string complete_events = stream->events.Append(bytes);
   if (stream->events.PartialSize() > kMaxEventBytes) {
     m_board->connections->Cancel(id);
     return OnCallFailed(id, http::CallFailure::kMalformed);
   }
   if (complete_events.empty()) return;
+  if (stream->events.Count() > earlier_events) {
+    RecordEvent(stream, /*first=*/earlier_events == 0);
+  }
+  const http::ExchangeId exchange = stream->routed.exchange;
+  m_board->server->WriteStream(exchange, complete_events);
+  if (m_board->server->PendingBytes(exchange) > kHighWatermarkBytes) {
+    m_board->connections->SetReading(id, false);
+  }
+}
+
+void StreamCalls::RecordEvent(Stream* stream, bool first) {
+  const TimePoint now = m_board->clock->Now();
   if (first) {
     const Duration latency = now - stream->routed.arrived_at;
     m_board->metrics
@@ -296,11 +310,6 @@
         std::max(stream->longest_gap, now - stream->last_event_at);
   }
   stream->last_event_at = now;
-  const http::ExchangeId exchange = stream->routed.exchange;
-  m_board->server->WriteStream(exchange, complete_events);
-  if (m_board->server->PendingBytes(exchange) > kHighWatermarkBytes) {
-    m_board->connections->SetReading(id, false);
-  }
 }
 
 void StreamCalls::OnOutputDrained(http::ExchangeId id) {
@@ -362,6 +371,9 @@
                : OnDecodeRejected(stream, "engine rejected it");
   }
   if (stream->is_forwarding) {
+    if (!stream->events.EndsStream(FramingOf(stream->response_head))) {
+      return OnDecodeInterrupted(stream, "response ended inside the stream");
+    }
     LogStreamEnd(*stream);
     m_board->server->WriteStream(routed.exchange,
                                  stream->events.DrainPartial());
@@ -433,20 +445,23 @@
     stream->kv = std::exchange(stream->kv_in_call, std::nullopt);
     return OnDecodeRejected(stream, "no connection");
   }
+  OnDecodeInterrupted(stream, failure == http::CallFailure::kBroken
+                                  ? "connection broke"
+                                  : "malformed answer");
+}
+
+void StreamCalls::OnDecodeInterrupted(Stream* stream, std::string_view reason) {
   m_reservations->RecordFailure(stream->decode_engine);
   m_board->poison_detector.RecordBrokenConnection(stream->routed.Fingerprint(),
                                                   stream->decode_engine,
                                                   m_board->clock->Now());
   stream->may_have_run = true;
-  OnDecodeBroken(stream, failure == http::CallFailure::kBroken
-                             ? "connection broke"
-                             : "malformed answer");
+  OnDecodeBroken(stream, reason);
 }
 
 void StreamCalls::OnDecodeBroken(Stream* stream, std::string_view reason) {
   RoutedRequest& routed = stream->routed;
   const TimePoint now = m_board->clock->Now();
-  stream->events.DiscardPartial();
   stream->excluded_decode_engines.insert(stream->decode_engine);
   ReleaseAttempt(stream);
   const bool retry = routed.route.kind == RequestKind::kResumableStream &&
@@ -499,19 +514,22 @@
   if (!stream->head_sent) {
     FailRequest(m_board, routed, kind, Duration(0), reason);
   } else {
-    m_board->log->Write(
-        "stream_broken_off",
-        {{"request", routed.request.id},
-         {"engine", stream->decode_engine.Value()},
-         {"after_event", LastEventId(*stream)},
-         {"framing",
-          std::string(FramingName(FramingOf(stream->response_head)))},
-         {"reason", std::string(reason)}});
+    m_board->log->Write("stream_broken_off",
+                        {{"request", routed.request.id},
+                         {"engine", stream->decode_engine.Value()},
+                         {"after_event", LastEventId(*stream)},
+                         {"framing", ResponseFraming(*stream)},
+                         {"reason", std::string(reason)}});
     m_board->server->Abort(routed.exchange);
   }
   FinishStream(stream);
 }
 
+std::string StreamCalls::ResponseFraming(const Stream& stream) {
+  if (stream.response_head.status == 0) return "none";
+  return std::string(FramingName(FramingOf(stream.response_head)));
+}
+
 void StreamCalls::LogStreamEnd(const Stream& stream) const {
   const auto milliseconds = [](Duration duration) -> int64_t {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -519,7 +537,7 @@
   };
   const RoutedRequest& routed = stream.routed;
   const TimePoint now = m_board->clock->Now();
-  const auto framing = FramingName(FramingOf(stream.response_head));
+  const std::string framing = ResponseFraming(stream);
   m_board->metrics.IncrementCounter("burdockhill_streams_ended_total",
                                     LabelsFor(routed.service, framing));
   m_board->log->Write(
@@ -534,7 +552,7 @@
         milliseconds(stream.first_event_at - routed.arrived_at)},
        {"longest_gap_ms", milliseconds(stream.longest_gap)},
        {"events", stream.events.Count()},
-       {"framing", std::string(framing)},
+       {"framing", framing},
        {"unfinished_event_bytes",
         static_cast<int64_t>(stream.events.PartialSize())},
        {"took_ms", milliseconds(now - routed.arrived_at)}});
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -95,6 +95,8 @@
   void StartDecode(Stream* stream);
   bool StartCall(Stream* stream, const RegisteredUpstream& upstream,
                  const UpstreamCall& call);
+  // One or more events have arrived; `first`: no event had before.
+  void RecordEvent(Stream* stream, bool first);
   void OnPrefillEnd(Stream* stream);
   void OnPrefillFailed(Stream* stream, bool was_sent, std::string_view reason);
   void OnDecodeEnd(Stream* stream);
@@ -102,6 +104,8 @@
   void OnDecodeRejected(Stream* stream, std::string_view reason);
   // The decode engine could not fetch the prompt's KV cache.
   void OnKvLost(Stream* stream);
+  // The decode engine failed while it ran the request.
+  void OnDecodeInterrupted(Stream* stream, std::string_view reason);
   // The decode engine may have run the request, and its response is incomplete:
   // resumes the stream if possible.
   void OnDecodeBroken(Stream* stream, std::string_view reason);
@@ -119,6 +123,8 @@
   void FailUnknown(Stream* stream, ErrorKind kind, std::string_view reason);
   void FinishStream(Stream* stream);
   void LogStreamEnd(const Stream& stream) const;
+  // Framing of the engine's latest response; "none" before there is one.
+  static std::string ResponseFraming(const Stream& stream);
   int64_t LastEventId(const Stream& stream) const;
 
   EntryBoard* m_board;
