An error response of an engine that is too long to buffer is not cut short

What callers would see: an engine's response on a stream's route that is no stream, such as an error page, reached the caller cut after 1 MB, with a Content-Length of the cut body, so that it looked whole.

Cause: bytes beyond the limit of the buffer were dropped, and the rest was answered as the complete body.

Fix: such a response is not understood and takes the path of a malformed one.

Streams, AnErrorResponseThatIsTooLongToBufferIsNotCutShort failed before: a body of 2 MB was answered with Content-Length: 1048576.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -20,7 +20,7 @@
 // Reading from the engine pauses when more bytes to the caller are queued here,
 // and continues once the operating system has accepted all of them.
 constexpr size_t kHighWatermarkBytes = size_t{256} << 10;
-// A response that is no stream is buffered; bytes beyond this size are dropped.
+// A response that is no stream is buffered; a longer one is not understood.
 constexpr size_t kMaxResponseBytes = size_t{1} << 20;
 
 // Priorities range from 0, the most urgent, to this.
@@ -264,17 +264,13 @@
   Stream* stream = FindStream(id);
   if (stream == nullptr) return;
   if (!stream->is_forwarding) {
-    if (stream->response_body.size() < kMaxResponseBytes) {
-      stream->response_body.append(bytes);
-    }
+    stream->response_body.append(bytes);
+    if (stream->response_body.size() > kMaxResponseBytes) RejectBytes(id);
     return;
   }
   const int64_t earlier_events = stream->events.Count();
   const std::string complete_events = stream->events.Append(bytes);
-  if (stream->events.IsTooLong()) {
-    m_board->connections->Cancel(id);
-    return OnCallFailed(id, http::CallFailure::kMalformed);
-  }
+  if (stream->events.IsTooLong()) return RejectBytes(id);
   if (complete_events.empty()) return;
   if (stream->events.Count() > earlier_events) {
     RecordEvent(stream, /*first=*/earlier_events == 0);
@@ -286,6 +282,11 @@
   }
 }
 
+void StreamCalls::RejectBytes(http::CallId id) {
+  m_board->connections->Cancel(id);
+  OnCallFailed(id, http::CallFailure::kMalformed);
+}
+
 void StreamCalls::RecordEvent(Stream* stream, bool first) {
   const TimePoint now = m_board->clock->Now();
   if (first) {
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -95,6 +95,8 @@
   void StartDecode(Stream* stream);
   bool StartCall(Stream* stream, const RegisteredUpstream& upstream,
                  const UpstreamCall& call);
+  // Ends a call whose response is not understood.
+  void RejectBytes(http::CallId id);
   // One or more events have arrived; `first`: no event had before.
   void RecordEvent(Stream* stream, bool first);
   void OnPrefillEnd(Stream* stream);
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -94,6 +94,19 @@
   LONGS_EQUAL(1, m_log.Count("stream_resumed"));
 }
 
+TEST(Streams, AnErrorResponseThatIsTooLongToBufferIsNotCutShort) {
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/stream/x", &caller);
+  m_sockets.Inject(decode,
+                   "HTTP/1.1 500 X\r\nX-Request-Id: r1\r\n"
+                   "Content-Length: 2097152\r\n\r\n");
+  const std::string part(size_t{1} << 16, 'x');
+  for (int i = 0; i < 32; ++i) m_sockets.Inject(decode, part);
+  const std::string forwarded = m_sockets.DrainOutput(caller);
+  STRCMP_CONTAINS("HTTP/1.1 502", forwarded.substr(0, 200).c_str());
+  CHECK(m_gateway.IsIdle());
+}
+
 // An engine in trouble may send bytes that are no event without end.
 TEST(Streams, AnEventWithoutEndEndsTheStreamWithBoundedMemory) {
   SocketId caller;
