Responses to HEAD requests end with their heads

What callers would see: a HEAD request whose response has a Content-Length, as it should, ran into the timeout of its route.

Cause: MessageReader::ExpectNoBody was never called, so the connection pool waited for a body that never comes.

Fix: the pool tells the reader so for each response to a HEAD request.

ConnectionPool, AResponseToHeadEndsWithItsHead failed before.

--- a/burdockhill/src/http/connection_pool.cc
+++ b/burdockhill/src/http/connection_pool.cc
@@ -14,6 +14,8 @@
 // assumed to drop idle connections early. Half of the idle time of that
 // connection is then the limit for its address, for this long.
 constexpr Duration kIdleLimitLifetime = std::chrono::seconds(10);
+// Start of the requests whose responses have no body.
+constexpr std::string_view kHeadMethod = "HEAD ";
 // Used if the response has no Keep-Alive timeout.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
 
@@ -42,7 +44,7 @@
   const CallId id(++m_last_call_id);
   SocketId socket = TakeIdleConnection(address, policy.max_idle_time);
   if (socket.IsValid()) {
-    m_connections.Find(socket)->call = id;
+    BeginCall(m_connections.Find(socket), id, request);
     m_calls.FindOrInsert(id) = {socket, events, {}};
     m_sockets->Write(socket, request);
     return id;
@@ -53,12 +55,24 @@
   if (!socket.IsValid()) return CallId();
   Connection& connection = m_connections.FindOrInsert(socket);
   connection.address = address;
-  connection.call = id;
+  BeginCall(&connection, id, request);
   connection.connect_deadline = m_clock->Now() + policy.connect_timeout;
   m_calls.FindOrInsert(id) = {socket, events, std::move(request)};
   return id;
 }
 
+void ConnectionPool::BeginCall(Connection* connection, CallId id,
+                               std::string_view request) {
+  connection->call = id;
+  connection->expects_no_body = request.starts_with(kHeadMethod);
+  ResetReader(connection);
+}
+
+void ConnectionPool::ResetReader(Connection* connection) {
+  connection->reader.Reset();
+  if (connection->expects_no_body) connection->reader.ExpectNoBody();
+}
+
 Duration ConnectionPool::MaxIdleTime(const std::string& address,
                                      TimePoint now) const {
   const auto found = m_idle_limits.find(address);
@@ -124,7 +138,7 @@
     if (!connection->reader.IsComplete()) continue;
     if (std::exchange(connection->discarding, false)) {
       connection->head_delivered = false;
-      connection->reader.Reset();
+      ResetReader(connection);
       continue;
     }
     EndCall(id, bytes.empty());
@@ -168,7 +182,6 @@
   connection->call = CallId();
   m_calls.Erase(call_id);
   if (reuse) {
-    connection->reader.Reset();
     connection->head_delivered = false;
     connection->idle_start = now;
     connection->usable_until = now + idle_timeout;
--- a/burdockhill/src/http/connection_pool.h
+++ b/burdockhill/src/http/connection_pool.h
@@ -81,6 +81,7 @@
     // The response being read belongs to another request and is discarded.
     bool discarding = false;
     bool head_delivered = false;
+    bool expects_no_body = false;  // The current call is a HEAD request.
     TimePoint idle_start{};
     Duration idle_time{0};  // Idle time before the current call.
     // A byte was received since the current call started.
@@ -110,6 +111,11 @@
   Duration MaxIdleTime(const std::string& address, TimePoint now) const;
   SocketId TakeIdleConnection(const std::string& address,
                               Duration max_idle_time);
+  // Assigns the connection to a call with this formatted request.
+  static void BeginCall(Connection* connection, CallId id,
+                        std::string_view request);
+  // Prepares the reader for the next response.
+  static void ResetReader(Connection* connection);
   void ProcessInput(SocketId id, std::string_view bytes);
   // Passes what the reader has parsed to the call's callbacks. Returns false if
   // the connection was closed meanwhile.
--- a/burdockhill/src/http/message_reader.h
+++ b/burdockhill/src/http/message_reader.h
@@ -37,7 +37,7 @@
   // Declares that the current response has no body, as after a HEAD request.
   void ExpectNoBody();
 
-  // Prepares for the next message. Requires IsComplete().
+  // Prepares for the next message, after a complete one or before the first.
   void Reset();
 
   bool HasStarted() const;  // At least one byte of the message was consumed.
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -338,6 +338,15 @@
   CHECK(m_call.ended);
 }
 
+TEST(ConnectionPool, AResponseToHeadEndsWithItsHead) {
+  m_pool.Start(kUpstream, "HEAD / HTTP/1.1\r\n\r\n", &m_call, {});
+  const SocketId id = OnlyConnection();
+  m_sockets.CompleteConnect(id);
+  m_sockets.Inject(id, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  CHECK(m_call.ended);
+  CHECK(m_sockets.GetConnection(id).open);
+}
+
 TEST(ConnectionPool, UnsolicitedBytesCloseTheConnection) {
   Start();
   const SocketId id = OnlyConnection();
