The client of the product's own deployment completes no broken-off response

What callers would see: behind scripts/run's deployment, a plain service whose chunked response ended with its connection before the last chunk, or whose response without a length was reset, was answered for as if it were whole.

Cause: HttpClient used the HTTP client role of libwebsockets, which reports a completed transaction when the connection of a response without Content-Length closes, chunked or not, closed or reset.

Fix: HttpClient uses TcpSockets and MessageReader, as the platform path does, so one reader decides for both whether a response is complete, and a reset is told from an end. It moves to module http. EventLoop gets CallAfter for its timeouts.

--- a/burdockhill/src/adapters/engine_client.cc
+++ b/burdockhill/src/adapters/engine_client.cc
@@ -106,8 +106,8 @@
   auto stream = std::make_shared<Stream>();
   const AttemptId attempt = command.attempt;
   ClientEvents events;
-  events.on_head = [stream](int status, const std::string& /*type*/) {
-    stream->status = status;
+  events.on_head = [stream](const http::Head& head) {
+    stream->status = head.status;
   };
   events.on_data = [this, attempt, stream](std::string_view data) {
     if (stream->status != kHttpOk) return;
@@ -210,7 +210,7 @@
   request.content_type = call.content_type;
   request.body = call.body;
   if (!call.idempotency_key.empty()) {
-    request.headers.emplace_back("idempotency-key", call.idempotency_key);
+    request.headers.Add("Idempotency-Key", call.idempotency_key);
   }
   request.timeout =
       std::max(std::chrono::seconds(1),
@@ -223,9 +223,10 @@
   };
   auto answer = std::make_shared<Answer>();
   ClientEvents events;
-  events.on_head = [answer](int status, const std::string& content_type) {
-    answer->status = status;
-    answer->content_type = content_type;
+  events.on_head = [answer](const http::Head& head) {
+    answer->status = head.status;
+    const std::string* type = head.headers.Find("Content-Type");
+    if (type != nullptr) answer->content_type = *type;
   };
   events.on_data = [answer](std::string_view data) { answer->body += data; };
   events.on_end = [this, attempt, answer](CallEnd end) {
--- a/burdockhill/src/adapters/platform_client.h
+++ b/burdockhill/src/adapters/platform_client.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "burdockhill/src/store/object_store.h"
-#include "burdockhill/src/transport/http_client.h"
+#include "burdockhill/src/http/http_client.h"
 
 namespace burdockhill {
 
--- /dev/null
+++ b/burdockhill/src/http/http_client.cc
@@ -0,0 +1,191 @@
+#include "burdockhill/src/http/http_client.h"
+
+#include <utility>
+
+#include "burdockhill/src/base/table.h"
+#include "burdockhill/src/http/message_reader.h"
+#include "burdockhill/src/transport/event_loop.h"
+#include "burdockhill/src/transport/tcp_sockets.h"
+
+namespace burdockhill {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::seconds(3);
+constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
+constexpr std::string_view kHeadMethod = "HEAD";
+
+struct Call {
+  ClientRequest request;
+  ClientEvents events;
+  SocketId socket;
+  TimerId timer;
+  http::MessageReader reader{http::MessageKind::kResponse,
+                             kMaxResponseHeaderBytes};
+  bool connected = false;
+  bool head_reported = false;
+};
+
+std::string Format(const ClientRequest& request) {
+  http::Head head;
+  head.method = request.method;
+  head.target = request.path;
+  head.headers = request.headers;
+  if (!request.body.empty()) {
+    head.headers.Add("Content-Type", request.content_type);
+  }
+  return http::FormatRequest(head, request.address.host, request.body.size()) +
+         request.body;
+}
+
+}  // namespace
+
+class HttpClient::Impl : private SocketEvents {
+ public:
+  explicit Impl(EventLoop* loop) : m_loop(loop), m_sockets(loop) {}
+
+  ~Impl() override {
+    for (const auto& [id, call] : m_calls) m_loop->CancelTimer(call.timer);
+  }
+
+  ClientCallId Start(ClientRequest request, ClientEvents events) {
+    const ClientCallId id(++m_last_call_id);
+    Call& call = m_calls.FindOrInsert(id);
+    call.request = std::move(request);
+    call.events = std::move(events);
+    if (call.request.method == kHeadMethod) call.reader.ExpectNoBody();
+    call.socket = m_sockets.Connect(call.request.address, this);
+    if (call.socket.IsValid()) m_calls_by_socket.FindOrInsert(call.socket, id);
+    // An immediate failure is reported by the timer, so that no callback is
+    // called before Start returns.
+    SetTimer(id, &call, call.socket.IsValid() ? kConnectTimeout : Duration(0));
+    return id;
+  }
+
+  void Cancel(ClientCallId id) { Remove(id, /*reset=*/true); }
+
+ private:
+  void SetTimer(ClientCallId id, Call* call, Duration delay) {
+    m_loop->CancelTimer(call->timer);
+    call->timer = m_loop->CallAfter(delay, [this, id] { Fail(id); });
+  }
+
+  // Returns the callbacks of the removed call.
+  ClientEvents Remove(ClientCallId id, bool reset) {
+    Call* call = m_calls.Find(id);
+    if (call == nullptr) return {};
+    ClientEvents events = std::move(call->events);
+    const SocketId socket = call->socket;
+    m_loop->CancelTimer(call->timer);
+    m_calls_by_socket.Erase(socket);
+    m_calls.Erase(id);
+    m_sockets.Close(socket, reset);
+    return events;
+  }
+
+  void Fail(ClientCallId id) {
+    const Call* call = m_calls.Find(id);
+    if (call == nullptr) return;
+    const CallEnd end =
+        call->connected ? CallEnd::kBroken : CallEnd::kNotConnected;
+    const ClientEvents events = Remove(id, /*reset=*/true);
+    if (events.on_end) events.on_end(end);
+  }
+
+  // Reports what the reader has parsed, and the end of the call if the response
+  // is complete or malformed.
+  void Report(ClientCallId id) {
+    Call* call = m_calls.Find(id);
+    if (call == nullptr) return;
+    if (call->reader.HasHead() && !std::exchange(call->head_reported, true) &&
+        call->events.on_head) {
+      call->events.on_head(call->reader.MessageHead());
+      call = m_calls.Find(id);
+      if (call == nullptr) return;
+    }
+    const std::string body = std::exchange(call->reader.Body(), {});
+    if (!body.empty() && call->events.on_data) {
+      call->events.on_data(body);
+      call = m_calls.Find(id);
+      if (call == nullptr) return;
+    }
+    if (call->reader.Error() != http::ReadError::kNone) return Fail(id);
+    if (!call->reader.IsComplete()) return;
+    const ClientEvents events = Remove(id, /*reset=*/false);
+    if (events.on_end) events.on_end(CallEnd::kComplete);
+  }
+
+  ClientCallId CallIdOf(SocketId socket) const {
+    const ClientCallId* id = m_calls_by_socket.Find(socket);
+    return id == nullptr ? ClientCallId() : *id;
+  }
+
+  void OnConnected(SocketId socket) override {
+    const ClientCallId id = CallIdOf(socket);
+    Call* call = m_calls.Find(id);
+    if (call == nullptr) return;
+    call->connected = true;
+    m_loop->CancelTimer(std::exchange(call->timer, TimerId()));
+    if (call->request.timeout.count() > 0) {
+      SetTimer(id, call, call->request.timeout);
+    }
+    m_sockets.Write(socket, Format(call->request));
+  }
+
+  void OnBytes(SocketId socket, std::string_view bytes) override {
+    const ClientCallId id = CallIdOf(socket);
+    Call* call = m_calls.Find(id);
+    if (call == nullptr) return;
+    call->reader.Consume(bytes);
+    Report(id);
+  }
+
+  void OnEndOfInput(SocketId socket) override {
+    const ClientCallId id = CallIdOf(socket);
+    Call* call = m_calls.Find(id);
+    if (call == nullptr) return;
+    call->reader.ConsumeEndOfInput();
+    if (!call->reader.IsComplete()) return Fail(id);
+    Report(id);
+  }
+
+  void OnFailed(SocketId socket) override { Fail(CallIdOf(socket)); }
+
+  EventLoop* m_loop;
+  TcpSockets m_sockets;
+  uint64_t m_last_call_id = 0;
+  Table<ClientCallId, Call> m_calls;
+  Table<SocketId, ClientCallId> m_calls_by_socket;
+};
+
+HttpClient::HttpClient(EventLoop* loop)
+    : m_impl(std::make_unique<Impl>(loop)) {}
+
+HttpClient::~HttpClient() = default;
+
+ClientCallId HttpClient::Start(ClientRequest request, ClientEvents events) {
+  return m_impl->Start(std::move(request), std::move(events));
+}
+
+void HttpClient::Cancel(ClientCallId id) { m_impl->Cancel(id); }
+
+ClientCallId FetchResponse(
+    HttpClient* client, ClientRequest request,
+    std::function<void(CallEnd end, int status, std::string body)> done) {
+  struct State {
+    int status = 0;
+    std::string body;
+  };
+  auto state = std::make_shared<State>();
+  ClientEvents events;
+  events.on_head = [state](const http::Head& head) {
+    state->status = head.status;
+  };
+  events.on_data = [state](std::string_view data) { state->body += data; };
+  events.on_end = [state, done = std::move(done)](CallEnd end) {
+    done(end, state->status, std::move(state->body));
+  };
+  return client->Start(std::move(request), std::move(events));
+}
+
+}  // namespace burdockhill
--- a/burdockhill/src/transport/http_client.h
+++ b/burdockhill/src/http/http_client.h
@@ -1,5 +1,5 @@
-#ifndef BURDOCKHILL_SRC_TRANSPORT_HTTP_CLIENT_H_
-#define BURDOCKHILL_SRC_TRANSPORT_HTTP_CLIENT_H_
+#ifndef BURDOCKHILL_SRC_HTTP_HTTP_CLIENT_H_
+#define BURDOCKHILL_SRC_HTTP_HTTP_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -9,7 +9,7 @@
 #include "burdockhill/src/base/address.h"
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
-#include "burdockhill/src/transport/http_server.h"
+#include "burdockhill/src/http/message.h"
 
 namespace burdockhill {
 
@@ -20,7 +20,7 @@
 
 // How a call ended.
 enum class CallEnd {
-  kComplete,      // The response was received completely.
+  kComplete,      // The response was received completely, by its framing.
   kNotConnected,  // No connection was established, so nothing was sent.
   kBroken,        // The connection failed, or the call exceeded its timeout.
 };
@@ -30,7 +30,7 @@
   std::string method = "GET";
   std::string path = "/";
   std::string content_type = "application/json";
-  HttpHeaders headers;
+  http::Headers headers;
   std::string body;
   // From the sending of the request to the complete response; zero for no
   // limit.
@@ -40,7 +40,7 @@
 // Callbacks of one call. Any of them may cancel the call. `on_end` is called
 // last and exactly once, unless the call is cancelled.
 struct ClientEvents {
-  std::function<void(int status, const std::string& content_type)> on_head;
+  std::function<void(const http::Head& head)> on_head;
   std::function<void(std::string_view data)> on_data;
   std::function<void(CallEnd end)> on_end;
 };
@@ -48,7 +48,7 @@
 // HTTP client that opens a new connection for each call.
 class HttpClient {
  public:
-  // Throws std::runtime_error if libwebsockets cannot create the client.
+  // Throws std::runtime_error if the sockets cannot be attached to the loop.
   explicit HttpClient(EventLoop* loop);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
@@ -75,4 +75,4 @@
 
 }  // namespace burdockhill
 
-#endif  // BURDOCKHILL_SRC_TRANSPORT_HTTP_CLIENT_H_
+#endif  // BURDOCKHILL_SRC_HTTP_HTTP_CLIENT_H_
--- a/burdockhill/src/transport/event_loop.h
+++ b/burdockhill/src/transport/event_loop.h
@@ -5,11 +5,16 @@
 #include <memory>
 
 #include "burdockhill/src/base/clock.h"
+#include "burdockhill/src/base/id.h"
+#include "burdockhill/src/base/table.h"
 
 struct lws_context;
 
 namespace burdockhill {
 
+// Identifies a call that EventLoop::CallAfter has scheduled.
+using TimerId = NumericId<struct TimerIdTag>;
+
 // The event loop of a process. Servers, clients and peer connections are
 // created on it and must be destroyed before it.
 class EventLoop {
@@ -36,6 +41,11 @@
   // earlier call.
   void WakeAfter(Duration delay);
 
+  // Calls `action` once from RunOnce, after `delay`.
+  TimerId CallAfter(Duration delay, std::function<void()> action);
+  // Ignores an id that is invalid or whose action was called.
+  void CancelTimer(TimerId id);
+
   // Ends the wait for I/O of the current or next RunOnce. May be called from a
   // signal handler.
   void Interrupt();
@@ -45,11 +55,17 @@
 
  private:
   struct Timer;
+  struct TimerEntry;
+  struct ScheduledCall;
+  void RunScheduledCall(TimerId id);
+
   SystemClock m_clock;
   Duration m_min_iteration_interval{0};
   TimePoint m_last_iteration_start{};
   std::unique_ptr<Timer> m_timer;
   lws_context* m_context = nullptr;
+  uint64_t m_last_timer_id = 0;
+  Table<TimerId, std::unique_ptr<ScheduledCall>> m_scheduled_calls;
 };
 
 }  // namespace burdockhill
--- a/load/burdockhill_load.cc
+++ b/load/burdockhill_load.cc
@@ -14,6 +14,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "burdockhill/http.h"
 #include "burdockhill/transport.h"
 
 ABSL_FLAG(std::vector<std::string>, callers, {},
@@ -151,7 +152,7 @@
     request.address = m_entries[m_calls.size() % m_entries.size()];
     request.method = "POST";
     request.path = "/v1/completions";
-    request.headers = {{"authorization", "Bearer " + absl::GetFlag(FLAGS_key)}};
+    request.headers.Add("Authorization", "Bearer " + absl::GetFlag(FLAGS_key));
     request.body = json{{"model", absl::GetFlag(FLAGS_model)},
                         {"stream", true},
                         {"max_tokens", absl::GetFlag(FLAGS_answer_tokens)},
@@ -203,8 +204,8 @@
                                const std::string& token_marker,
                                const std::string& end_marker) {
     ClientEvents events;
-    events.on_head = [call](int status, const std::string& /*type*/) {
-      call->status = status;
+    events.on_head = [call](const http::Head& head) {
+      call->status = head.status;
     };
     events.on_data = [this, call, token_marker,
                       end_marker](std::string_view data) {
--- a/standins/standin_main.h
+++ b/standins/standin_main.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "burdockhill/http.h"
 #include "burdockhill/transport.h"
 
 namespace burdockhill::standins {
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -11,6 +11,8 @@
 #include <functional>
 #include <memory>
 
+#include "burdockhill/http.h"
+
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
@@ -150,7 +152,8 @@
   ClientRequest request;
   request.method = "POST";
   request.path = "/a/b?x=1&y=2";
-  request.headers = {{"authorization", "Bearer k"}, {"idempotency-key", "i"}};
+  request.headers.Add("Authorization", "Bearer k");
+  request.headers.Add("Idempotency-Key", "i");
   request.body = "body";
   const FetchResult result = Fetch(request);
   LONGS_EQUAL(200, result.status);
