--- a/burdockhill/http.h
+++ b/burdockhill/http.h
@@ -1,15 +1,16 @@
 #ifndef BURDOCKHILL_HTTP_H_
 #define BURDOCKHILL_HTTP_H_
 
-// Module http: strict parsing and formatting of HTTP/1.1 messages, a server
-// for callers, a connection pool for upstreams, and a client that opens a
-// connection for each call. It does its I/O through the interface Sockets of
-// module transport.
+// Module http: strict parsing and formatting of HTTP/1.1 messages, splitting of
+// event streams, a server for callers, a connection pool for upstreams, and a
+// client that opens a connection for each call. It does its I/O through the
+// interface Sockets of module transport.
 
-#include "burdockhill/src/http/connection_pool.h"  // IWYU pragma: export
-#include "burdockhill/src/http/http_client.h"      // IWYU pragma: export
-#include "burdockhill/src/http/message.h"          // IWYU pragma: export
-#include "burdockhill/src/http/message_reader.h"   // IWYU pragma: export
-#include "burdockhill/src/http/server.h"           // IWYU pragma: export
+#include "burdockhill/src/http/connection_pool.h"     // IWYU pragma: export
+#include "burdockhill/src/http/http_client.h"         // IWYU pragma: export
+#include "burdockhill/src/http/message.h"             // IWYU pragma: export
+#include "burdockhill/src/http/message_reader.h"      // IWYU pragma: export
+#include "burdockhill/src/http/server.h"              // IWYU pragma: export
+#include "burdockhill/src/http/sse_event_splitter.h"  // IWYU pragma: export
 
 #endif  // BURDOCKHILL_HTTP_H_
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -259,7 +259,7 @@
 
 void PlainRequests::StartStream(Request* request) {
   request->is_streaming = true;
-  if (IsEventStream(request->response_head)) request->events.emplace();
+  if (http::IsEventStream(request->response_head)) request->events.emplace();
   http::Head head = request->response_head;
   http::RemoveConnectionHeaders(&head.headers);
   m_board->server->StartStream(request->routed.exchange, head);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -8,7 +8,7 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
-#include "burdockhill/src/gateway/sse_event_splitter.h"
+#include "burdockhill/src/http/sse_event_splitter.h"
 
 namespace burdockhill {
 
@@ -41,7 +41,7 @@
     std::optional<TimePoint> disconnected_at;
     bool is_streaming = false;  // The head was sent to the caller.
     // Of a stream whose body is an event stream.
-    std::optional<SseEventSplitter> events;
+    std::optional<http::SseEventSplitter> events;
     http::Head response_head;
     std::string response_body;
   };
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -245,7 +245,7 @@
   stream->response_head = head;
   if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
   stream->may_have_run = true;
-  if (head.status == http::kOk && IsEventStream(head)) {
+  if (head.status == http::kOk && http::IsEventStream(head)) {
     ForwardHead(stream, head);
   }
   return true;
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -9,7 +9,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/reservations.h"
-#include "burdockhill/src/gateway/sse_event_splitter.h"
+#include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/routing/stream_budget.h"
 
 namespace burdockhill {
@@ -66,7 +66,7 @@
     bool may_have_run = false;
     bool head_sent = false;      // To the caller.
     bool is_forwarding = false;  // The current response goes to the caller.
-    SseEventSplitter events;
+    http::SseEventSplitter events;
     http::Head response_head;
     std::string response_body;  // Of responses that are no event streams.
     TimePoint last_event_at{};
--- a/burdockhill/src/gateway/sse_event_splitter.cc
+++ b/burdockhill/src/http/sse_event_splitter.cc
@@ -1,9 +1,9 @@
-#include "burdockhill/src/gateway/sse_event_splitter.h"
+#include "burdockhill/src/http/sse_event_splitter.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace burdockhill {
+namespace burdockhill::http {
 
 namespace {
 
@@ -13,12 +13,12 @@
 
 }  // namespace
 
-bool IsEventStream(const http::Head& head) {
+bool IsEventStream(const Head& head) {
   const std::string* type = head.headers.Find("Content-Type");
   if (type == nullptr) return true;
   const std::string_view media_type =
       std::string_view(*type).substr(0, kEventStreamType.size());
-  return http::EqualsIgnoringCase(media_type, kEventStreamType);
+  return EqualsIgnoringCase(media_type, kEventStreamType);
 }
 
 void SseEventSplitter::BeginResponse() {
@@ -64,10 +64,10 @@
   return std::exchange(m_partial, {});
 }
 
-bool SseEventSplitter::EndsStream(http::BodyFraming framing) const {
+bool SseEventSplitter::EndsStream(BodyFraming framing) const {
   const bool inside_line = m_line_start < m_partial.size();
   if (m_has_fields || inside_line) return false;
-  return framing != http::BodyFraming::kConnection ||
+  return framing != BodyFraming::kConnection ||
          m_event_count > m_earlier_responses_count;
 }
 
@@ -77,7 +77,7 @@
   if (!line.starts_with(kIdField)) return;
   line.remove_prefix(kIdField.size());
   while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-  if (const auto id = http::ParseNumber(line)) m_event_id = *id;
+  if (const auto id = ParseNumber(line)) m_event_id = *id;
 }
 
 void SseEventSplitter::EndEvent() {
@@ -87,4 +87,4 @@
   if (id.has_value()) m_last_event_id = id;
 }
 
-}  // namespace burdockhill
+}  // namespace burdockhill::http
--- a/burdockhill/src/gateway/sse_event_splitter.h
+++ b/burdockhill/src/http/sse_event_splitter.h
@@ -1,5 +1,5 @@
-#ifndef BURDOCKHILL_SRC_GATEWAY_SSE_EVENT_SPLITTER_H_
-#define BURDOCKHILL_SRC_GATEWAY_SSE_EVENT_SPLITTER_H_
+#ifndef BURDOCKHILL_SRC_HTTP_SSE_EVENT_SPLITTER_H_
+#define BURDOCKHILL_SRC_HTTP_SSE_EVENT_SPLITTER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,11 +9,11 @@
 
 #include "burdockhill/src/http/message.h"
 
-namespace burdockhill {
+namespace burdockhill::http {
 
 // Whether the body of a response is a text/event-stream. One without a
 // Content-Type is taken for one, so ask only about responses of streams.
-bool IsEventStream(const http::Head& head);
+bool IsEventStream(const Head& head);
 
 // Splits a text/event-stream body at event boundaries. Only complete events are
 // forwarded, so that an interrupted stream can be resumed after the last one. A
@@ -35,7 +35,7 @@
   // stream too. An event without its blank line was broken off. The end of the
   // connection alone does not prove that the stream has ended, so at least one
   // event must precede it.
-  bool EndsStream(http::BodyFraming framing) const;
+  bool EndsStream(BodyFraming framing) const;
 
   // Whether the incomplete event exceeds the limit of what is buffered. The
   // stream is not understood then.
@@ -65,6 +65,6 @@
   int64_t m_earlier_responses_count = 0;  // Their part of m_event_count.
 };
 
-}  // namespace burdockhill
+}  // namespace burdockhill::http
 
-#endif  // BURDOCKHILL_SRC_GATEWAY_SSE_EVENT_SPLITTER_H_
+#endif  // BURDOCKHILL_SRC_HTTP_SSE_EVENT_SPLITTER_H_
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -160,7 +160,7 @@
  private:
   CallerResult* m_result;
   const Clock* m_clock;
-  SseEventSplitter m_events;
+  http::SseEventSplitter m_events;
 };
 
 // ---- Messages ----
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -10,8 +10,8 @@
 #include <memory>
 #include <thread>
 
-#include "burdockhill/src/gateway/sse_event_splitter.h"
 #include "burdockhill/src/http/connection_pool.h"
+#include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/transport/event_loop.h"
 #include "burdockhill/src/transport/tcp_sockets.h"
 #include "emulation/plain_runner_fake.h"
