An event stream of a plain service that ends inside an event is no answer

Cause: an agent took the end of the connection for the end of the stream.

Fix: EngineClient asks SseEventSplitter::EndsStream, as the entries of the platform path do. Streams of model engines need no change there: they end with an event that has a finish reason, and offsets without gaps.

--- a/burdockhill/src/adapters/engine_client.cc
+++ b/burdockhill/src/adapters/engine_client.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/resources/untrusted_json.h"
 
 namespace burdockhill {
@@ -24,6 +25,20 @@
   return address.host + ":" + std::to_string(address.port);
 }
 
+std::string ContentType(const http::Head& head) {
+  const std::string* type = head.headers.Find("Content-Type");
+  return type == nullptr ? std::string() : *type;
+}
+
+// Whether a response that is complete by its framing is whole. Event streams
+// must not end inside an event.
+bool IsWhole(const http::Head& head, const std::string& body) {
+  if (ContentType(head).empty() || !http::IsEventStream(head)) return true;
+  http::SseEventSplitter events;
+  events.Append(body);
+  return events.EndsStream(FramingOf(head));
+}
+
 std::optional<EngineState> ParseEngineState(const std::string& body) {
   const json text = ParseUntrustedJson(body);
   try {
@@ -217,26 +232,21 @@
                std::chrono::duration_cast<std::chrono::seconds>(call.timeout));
   const AttemptId attempt = call.attempt;
   struct Answer {
-    int status = 0;
-    std::string content_type;
+    http::Head head;
     std::string body;
   };
   auto answer = std::make_shared<Answer>();
   ClientEvents events;
-  events.on_head = [answer](const http::Head& head) {
-    answer->status = head.status;
-    const std::string* type = head.headers.Find("Content-Type");
-    if (type != nullptr) answer->content_type = *type;
-  };
+  events.on_head = [answer](const http::Head& head) { answer->head = head; };
   events.on_data = [answer](std::string_view data) { answer->body += data; };
   events.on_end = [this, attempt, answer](CallEnd end) {
     m_calls_in_flight.Erase(attempt);
-    if (end != CallEnd::kComplete) {
+    if (end != CallEnd::kComplete || !IsWhole(answer->head, answer->body)) {
       return m_events->OnCommandFailed(attempt, ErrorKind::kUpstreamFailed,
                                        end != CallEnd::kNotConnected);
     }
-    m_events->OnCallAnswered(attempt, answer->status, answer->content_type,
-                             answer->body);
+    m_events->OnCallAnswered(attempt, answer->head.status,
+                             ContentType(answer->head), answer->body);
   };
   m_calls_in_flight.FindOrInsert(attempt) =
       m_client->Start(std::move(request), std::move(events));
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -1,5 +1,5 @@
-// Module gateway: feeds from the store, the relay between
-// entries, and engine agents.
+// Module gateway: feeds from the store, the relay between entries, and engine
+// agents.
 
 #include <CppUTest/TestHarness.h>
 
--- /dev/null
+++ b/tests/raw_server.h
@@ -0,0 +1,77 @@
+#ifndef BURDOCKHILL_TESTS_RAW_SERVER_H_
+#define BURDOCKHILL_TESTS_RAW_SERVER_H_
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+
+#include "burdockhill/transport.h"
+
+namespace burdockhill {
+
+// Runs the event loop until `done` returns true, at most for some seconds.
+inline void RunUntil(EventLoop* loop, const std::function<bool()>& done) {
+  constexpr std::chrono::seconds kWaitTimeout{10};
+  const SystemClock clock;
+  const TimePoint end = clock.Now() + kWaitTimeout;
+  bool is_done = done();
+  while (!is_done && clock.Now() < end) {
+    loop->WakeAfter(std::chrono::milliseconds(1));
+    loop->RunOnce();
+    is_done = done();
+  }
+  CHECK(is_done);
+}
+
+// A server on loopback that answers one connection with given bytes.
+class RawServer {
+ public:
+  explicit RawServer(uint16_t port)
+      : m_listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int reuse = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    LONGS_EQUAL(0, bind(m_listener, reinterpret_cast<sockaddr*>(&address),
+                        sizeof address));
+    listen(m_listener, 1);
+  }
+  ~RawServer() { close(m_listener); }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  // Waits for a request, sends `response`, and closes or resets the connection
+  // once the client has had time to read it.
+  void Answer(EventLoop* loop, const std::string& response, bool reset) const {
+    const int connection = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+    RunUntil(loop, [&] {
+      char buffer[4096];
+      return recv(connection, buffer, sizeof buffer, 0) > 0;
+    });
+    LONGS_EQUAL(response.size(),
+                send(connection, response.data(), response.size(), 0));
+    constexpr int kIterationsToRead = 20;
+    for (int i = 0; i < kIterationsToRead; ++i) {
+      loop->WakeAfter(std::chrono::milliseconds(1));
+      loop->RunOnce();
+    }
+    if (reset) {
+      const linger option = {1, 0};
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+    close(connection);
+  }
+
+ private:
+  int m_listener;
+};
+
+}  // namespace burdockhill
+
+#endif  // BURDOCKHILL_TESTS_RAW_SERVER_H_
