Streams of the product's own deployment are chunked, so a break shows

What callers would see: behind scripts/run's deployment a stream had neither a length nor chunks, so one that ended with its entry looked whole. Tried: an entry killed 1.5 s after a stream of 900 tokens had begun; curl ended with exit code 0 after 121 events.

Cause: HttpServer used the HTTP server role of libwebsockets, which ends a response of unknown length with its connection.

Fix: HttpServer is now a thin layer over http::Server, the server of the platform path, which sends chunks and resets what it aborts. That also ends the other differences between the two: a request with two lengths was accepted and what lay beyond the first length read as another request, and a chunked body was not served. A request that is too large gets its 413 without a JSON body now. TcpSockets shuts its connections down with itself.

--- a/burdockhill/src/adapters/caller_api.h
+++ b/burdockhill/src/adapters/caller_api.h
@@ -9,7 +9,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/entry/caller_port.h"
 #include "burdockhill/src/entry/entry_core.h"
-#include "burdockhill/src/transport/http_server.h"
+#include "burdockhill/src/http/http_server.h"
 
 namespace burdockhill {
 
--- a/burdockhill/src/adapters/operators_api.h
+++ b/burdockhill/src/adapters/operators_api.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "burdockhill/src/transport/http_server.h"
+#include "burdockhill/src/http/http_server.h"
 
 namespace burdockhill {
 
--- a/burdockhill/src/transport/http_server.h
+++ b/burdockhill/src/http/http_server.h
@@ -1,5 +1,5 @@
-#ifndef BURDOCKHILL_SRC_TRANSPORT_HTTP_SERVER_H_
-#define BURDOCKHILL_SRC_TRANSPORT_HTTP_SERVER_H_
+#ifndef BURDOCKHILL_SRC_HTTP_HTTP_SERVER_H_
+#define BURDOCKHILL_SRC_HTTP_HTTP_SERVER_H_
 
 #include <chrono>
 #include <memory>
@@ -9,24 +9,19 @@
 #include <vector>
 
 #include "burdockhill/src/base/address.h"
-#include "burdockhill/src/base/id.h"
-
-struct lws;
-struct lws_vhost;
+#include "burdockhill/src/http/server.h"
 
 namespace burdockhill {
 
 class EventLoop;
 
-// Identifies one request to an HttpServer and its response.
-using ExchangeId = NumericId<struct ExchangeIdTag>;
+using http::ExchangeId;
 
-// Header names are lower case.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 struct HttpRequest {
   std::string method;
-  std::string path;   // Without the query.
+  std::string path;   // Without the query; not decoded.
   std::string query;  // Without the question mark.
   std::string authorization;
   std::string content_type;
@@ -45,15 +40,15 @@
   virtual void OnClosed(ExchangeId id) = 0;
 };
 
-// HTTP server on one address, based on libwebsockets. It rejects requests that
-// exceed its limits: a body over `max_body_bytes` with status 413, too large a
-// header with status 431 or by closing the connection, and a stalled sender by
-// closing the connection.
+// HTTP server on one TCP address, for the product's own interfaces. Decodes the
+// header fields that they use, and answers malformed, too large and too slow
+// requests itself.
 class HttpServer {
  public:
   struct Options {
     Address address;
     size_t max_body_bytes = size_t{1} << 20;
+    // Longest time without input while a request is awaited or incomplete.
     std::chrono::seconds stall_timeout{10};
   };
 
@@ -67,20 +62,19 @@
 
   // Sends a response with a complete body.
   void Respond(ExchangeId id, int status, std::string_view content_type,
-               std::string body, const HttpHeaders& headers = {});
+               const std::string& body, const HttpHeaders& headers = {});
 
-  // Starts a response whose body is sent in parts.
+  // Starts a chunked response. WriteStream only queues data until Flush.
   void StartStream(ExchangeId id, int status, std::string_view content_type,
                    const HttpHeaders& headers = {});
   void WriteStream(ExchangeId id, std::string_view data);
   void EndStream(ExchangeId id);
 
-  // Writes the data of streams to their sockets and aborts the exchanges of
-  // callers that have closed their connection or its sending direction. Call
-  // once per iteration of the event loop.
+  // Writes the queued data of streams. Call once per iteration of the event
+  // loop.
   void Flush();
 
-  // Closes the connection of an exchange; OnClosed follows.
+  // Resets the connection of an exchange; OnClosed follows from the event loop.
   void Abort(ExchangeId id);
 
   // Bytes of the response body that are not yet written to the socket.
@@ -97,4 +91,4 @@
 
 }  // namespace burdockhill
 
-#endif  // BURDOCKHILL_SRC_TRANSPORT_HTTP_SERVER_H_
+#endif  // BURDOCKHILL_SRC_HTTP_HTTP_SERVER_H_
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -13,7 +13,7 @@
 namespace burdockhill::http {
 
 // Identifies one request and its response.
-using ExchangeId = NumericId<struct ServerExchangeIdTag>;
+using ExchangeId = NumericId<struct ExchangeIdTag>;
 
 // Limits on what a caller may send, and on the time that it may take.
 struct ServerLimits {
--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -95,7 +95,11 @@
     }
   }
 
-  ~Impl() { lws_vhost_destroy(m_vhost); }
+  ~Impl() {
+    // libwebsockets closes the descriptors only later.
+    for (const auto& [id, socket] : m_sockets) shutdown(socket.fd, SHUT_RDWR);
+    lws_vhost_destroy(m_vhost);
+  }
 
   void Listen(const Address& address, SocketAcceptor* acceptor) {
     const int fd =
--- a/burdockhill/src/transport/wsi_support.h
+++ b/burdockhill/src/transport/wsi_support.h
@@ -21,12 +21,6 @@
   return Id(reinterpret_cast<uintptr_t>(lws_get_opaque_user_data(wsi)));
 }
 
-// Whether lws_write may be called outside of the writeable callback: the send
-// buffer of the socket has space and no earlier write is still incomplete.
-inline bool CanWriteNow(lws* wsi) {
-  return lws_partial_buffered(wsi) == 0 && lws_send_pipe_choked(wsi) == 0;
-}
-
 }  // namespace burdockhill::internal
 
 #endif  // BURDOCKHILL_SRC_TRANSPORT_WSI_SUPPORT_H_
--- a/burdockhill/transport.h
+++ b/burdockhill/transport.h
@@ -1,12 +1,11 @@
 #ifndef BURDOCKHILL_TRANSPORT_H_
 #define BURDOCKHILL_TRANSPORT_H_
 
-// Module transport: the event loop, TCP sockets, an HTTP server and peer
-// connections. All run on one libwebsockets context and one thread. No
-// other module depends on libwebsockets.
+// Module transport: the event loop, TCP sockets and peer connections. All run
+// on one libwebsockets context and one thread. No other module depends on
+// libwebsockets.
 
 #include "burdockhill/src/transport/event_loop.h"      // IWYU pragma: export
-#include "burdockhill/src/transport/http_server.h"     // IWYU pragma: export
 #include "burdockhill/src/transport/peer_transport.h"  // IWYU pragma: export
 #include "burdockhill/src/transport/sockets.h"         // IWYU pragma: export
 #include "burdockhill/src/transport/tcp_sockets.h"     // IWYU pragma: export
