Failing test: a prompt part that crashes engines is not learned

Requests that share one part of their prompts crash engine after engine, and no request is like another, so PoisonRequestDetector never bars any.

--- a/tests/gateway_test_entry.h
+++ b/tests/gateway_test_entry.h
@@ -174,8 +174,9 @@
 
   // Plays a stream up to its call to the decode engine, and returns the
   // connection of that call.
-  SocketId StartDecodeCall(const std::string& path, SocketId* caller) {
-    *caller = Post(path);
+  SocketId StartDecodeCall(const std::string& path, SocketId* caller,
+                           const std::string& extra = "") {
+    *caller = Post(path, extra);
     CHECK(GrantLatest<ReserveDecode>());
     CHECK(GrantLatest<ReservePrefill>());
     const SocketId prefill = EstablishTo(kPrefill);
@@ -187,6 +188,22 @@
     return decode.IsValid() ? decode : EstablishTo(kDecodeTwo);
   }
 
+  // The engine of this connection ends, and starts again under the name `next`.
+  void RestartEngine(SocketId decode, const std::string& next) {
+    const std::string address = m_sockets.GetConnection(decode).address;
+    RegisteredUpstream engine =
+        *m_board.upstreams.FindByService(ServiceName("llm")).front();
+    for (const auto& [name, upstream] : m_board.upstreams.All()) {
+      if (upstream.address == address) engine = upstream;
+    }
+    m_sockets.Fail(decode);
+    m_board.upstreams.ApplyRemoval(engine.name, 100, m_clock.Now());
+    AdvanceTime(std::chrono::milliseconds(100));
+    engine.name = UpstreamName(next);
+    m_board.upstreams.ApplyUpdate(engine);
+    AdvanceTime(std::chrono::seconds(2));
+  }
+
   // Plays a stream up to its first event and a part of the second, and returns
   // the connection to the decode engine.
   SocketId StartStream(const std::string& path, SocketId* caller) {
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -327,3 +327,23 @@
   CHECK(refused >= 10);
   CHECK(m_log.Count("reserved_without_agent") > 0);
 }
+
+TEST(Streams, RequestsWithAPromptPartThatCrashedThreeEnginesAreRefused) {
+  SocketId caller;
+  for (const std::string number : {"1", "2", "3"}) {
+    const SocketId decode = StartDecodeCall(
+        "/stream/" + number, &caller,
+        "X-Prompt-Prefix: a:200,bad:300," + number + ":4500\r\n");
+    RestartEngine(decode, "restarted-" + number);
+  }
+  m_peer_link.sent.clear();
+  caller = Post("/stream/4", "X-Prompt-Prefix: a:200,bad:300,4:4500\r\n");
+  const std::string refusal = m_sockets.DrainOutput(caller);
+  STRCMP_CONTAINS("503", refusal.c_str());
+  STRCMP_CONTAINS("Retry-After: ", refusal.c_str());
+  LONGS_EQUAL(0, m_peer_link.sent.size());
+  // A sound request with the same first part is served.
+  const SocketId decode = StartDecodeCall("/stream/5", &caller,
+                                          "X-Prompt-Prefix: a:200,5:4500\r\n");
+  CHECK(decode.IsValid());
+}
