Log which prompt parts the streams share that break off

The codec decodes the parts that other prompts may share, all but the last, and stream_broken_off and stream_resumed name them. No change of logic.

--- a/burdockhill/src/base/id.h
+++ b/burdockhill/src/base/id.h
@@ -55,6 +55,8 @@
 using VmName = NameId<struct VmNameTag>;
 using ZoneName = NameId<struct ZoneNameTag>;
 using RegionName = NameId<struct RegionNameTag>;
+// A part of a prompt that several prompts may begin with or contain.
+using PromptPartName = NameId<struct PromptPartNameTag>;
 
 // Identifies an attempt: work that an entry sends to one agent for a request (a
 // decode reservation, a prefill or a call to a plain service). An id is never
--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -28,6 +28,9 @@
   Tokens prompt_tokens;            // Length of the prompt; zero if not given.
   Tokens max_output_tokens;        // Zero if not given.
   Tokens estimated_output_tokens;  // The caller's estimate; zero if not given.
+  // The parts of the prompt that other prompts may share, in order. The last
+  // part of a prompt is its own and not among them.
+  std::vector<PromptPartName> shared_prompt_parts;
   // Id of the last event that the caller received from an interrupted stream.
   std::optional<int64_t> last_event_id;
 };
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -35,6 +35,16 @@
                   kPrefillTimeoutTargets * route.latency_target);
 }
 
+// The shared parts of the prompt, for logs.
+std::string SharedParts(const InboundRequest& request) {
+  std::string text;
+  for (const PromptPartName& part : request.shared_prompt_parts) {
+    if (!text.empty()) text += ",";
+    text += part.Value();
+  }
+  return text;
+}
+
 Duration EventTimeout(const Route& route) {
   return std::max(kMinEventTimeout, kEventTimeoutGaps * route.gap_target);
 }
@@ -471,6 +481,7 @@
   stream->caller_waiting_since = now;
   m_board->log->Write("stream_resumed", {{"request", routed.request.id},
                                          {"after_event", LastEventId(*stream)},
+                                         {"parts", SharedParts(routed.request)},
                                          {"reason", std::string(reason)}});
   ReserveDecodeEngine(stream);
 }
@@ -517,6 +528,7 @@
                          {"engine", stream->decode_engine.Value()},
                          {"after_event", LastEventId(*stream)},
                          {"framing", ResponseFraming(*stream)},
+                         {"parts", SharedParts(routed.request)},
                          {"reason", std::string(reason)}});
     m_board->server->Abort(routed.exchange);
   }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -63,6 +63,25 @@
   CHECK(*request->caller_timeout == std::chrono::seconds(14));
 }
 
+TEST(RequestCodec, DecodesAllPromptPartsButTheLast) {
+  const std::pair<std::string, std::vector<std::string>> fields[] = {
+      {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+      {"5c1e07a2:800, 91bd3f06:410, e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+      {"e4402b7d:250", {}},
+      {"a,,:9,b:1", {"a"}},
+      {"", {}}};
+  for (const auto& [field, expected] : fields) {
+    http::Head head = StreamHead();
+    head.headers.Set("X-Prompt-Prefix", field);
+    const auto request = m_codec.DecodeRequest(head, "");
+    std::vector<std::string> names;
+    for (const PromptPartName& part : request->shared_prompt_parts) {
+      names.push_back(part.Value());
+    }
+    CHECK(names == expected);
+  }
+}
+
 TEST(RequestCodec, AnEndlessDeadlineIsNoNegativeOne) {
   http::Head head;
   head.target = "/";
