Prompt parts that crash engines are found and refused

Cause: crashes were counted by the fingerprint of the whole request. Requests that share the part are all different, so none was ever barred.

A debug line of the prompts' parts showed 34 requests with the same two shared parts, none of which got a single event.

Fix: PromptPartQuarantine in routing/ counts crashes by the shared parts of the prompts that the engine had just begun to answer, and refuses prompts with a part that three crashes blame. Sound answers lift the evidence. Entries flood what they learn. PoisonRequestDetector confirms crashes for both, now also by a registration that is superseded.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -172,8 +172,8 @@
   PeerRelay relay({settings.vm, settings.seeds, settings.peer_port,
                    platform::kConfigurationName},
                   &board.routes, &board.upstreams, &board.poison_detector,
-                  &context.peers, &context.clock, &context.log,
-                  &configuration_updater, &upstream_updater);
+                  &board.prompt_parts, &context.peers, &context.clock,
+                  &context.log, &configuration_updater, &upstream_updater);
   PeerEventDispatcher peer_dispatcher(&reservations, &relay);
   context.peers.SetEvents(&peer_dispatcher);
   CachingConfigurationEvents caching_configurations(&configuration_updater,
--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -11,6 +11,15 @@
 
 }  // namespace
 
+bool IsBarred(EntryBoard* board, const RoutedRequest& routed) {
+  const PoisonRequestDetector& detector = board->poison_detector;
+  if (!detector.IsEmpty() && detector.IsBarred(routed.Fingerprint())) {
+    return true;
+  }
+  return board->prompt_parts.MustRefuse(routed.request.shared_prompt_parts,
+                                        board->clock->Now());
+}
+
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
                  Duration retry_after, std::string_view reason) {
   const ErrorResponse& answer = ErrorResponseFor(kind);
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -26,6 +26,7 @@
   UpstreamDirectory upstreams;
   RetryBudget retry_budget;
   PoisonRequestDetector poison_detector;
+  PromptPartQuarantine prompt_parts;
   PlainPlacement placement;
   MetricsRegistry metrics;
   bool leaving = false;  // A graceful shutdown has begun.
@@ -71,6 +72,10 @@
   return labels;
 }
 
+// Whether upstreams that ran this request, or others with a part of its prompt,
+// have crashed, so that it must not reach another one.
+bool IsBarred(EntryBoard* board, const RoutedRequest& routed);
+
 // Sends the caller an error response, logs it and counts it. If `retry_after`
 // is zero, a 503 response carries the default of `kind`.
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -41,8 +41,7 @@
     return FailRequest(m_board, routed, ErrorKind::kLeaving, Duration(0),
                        "would outlast this process");
   }
-  const PoisonRequestDetector& detector = m_board->poison_detector;
-  if (!detector.IsEmpty() && detector.IsBarred(routed.Fingerprint())) {
+  if (IsBarred(m_board, routed)) {
     return FailRequest(m_board, routed, ErrorKind::kBarred, Duration(0),
                        "upstreams that ran it have crashed");
   }
@@ -75,6 +74,11 @@
   m_board->upstreams.Expire(now);
   m_board->placement.DropUnregistered(m_board->upstreams);
   m_board->poison_detector.Tick(m_board->upstreams, now);
+  for (const PromptCrash& crash :
+       m_board->poison_detector.DrainPromptCrashes()) {
+    m_board->prompt_parts.RecordCrash(crash, now);
+  }
+  m_board->prompt_parts.Tick(now);
   DivideConnectionLimits();
   m_plain->Tick();
   m_streams->Tick();
--- a/burdockhill/src/gateway/peer_relay.cc
+++ b/burdockhill/src/gateway/peer_relay.cc
@@ -16,11 +16,16 @@
   return {crash.request.Value(), crash.upstream};
 }
 
+PromptPartNotice ToNotice(const PromptPartReport& report, TimePoint now) {
+  return {report.part, report.crashed_upstream, now - report.at};
+}
+
 }  // namespace
 
 PeerRelay::PeerRelay(const Options& options, const RouteTable* routes,
                      const UpstreamDirectory* upstreams,
-                     PoisonRequestDetector* poison_detector, PeerLink* peers,
+                     PoisonRequestDetector* poison_detector,
+                     PromptPartQuarantine* prompt_parts, PeerLink* peers,
                      const Clock* clock, EventLog* log,
                      FeedEvents* configuration_events,
                      FeedEvents* registration_events)
@@ -28,6 +33,7 @@
       m_routes(routes),
       m_upstreams(upstreams),
       m_poison_detector(poison_detector),
+      m_prompt_parts(prompt_parts),
       m_peers(peers),
       m_clock(clock),
       m_log(log),
@@ -76,6 +82,7 @@
                   {"barred", m_poison_detector->IsBarred(crash.request)}});
     for (const VmName& vm : m_entries) m_peers->Send(vm, ToNotice(crash));
   }
+  SendPromptPartReports();
   if (now >= m_next_offer_at) {
     m_next_offer_at = now + kOfferInterval;
     for (const VmName& vm : m_entries) {
@@ -105,6 +112,34 @@
   for (const UpstreamCrash& crash : m_poison_detector->AllCrashes()) {
     m_peers->Send(peer.vm, ToNotice(crash));
   }
+  const TimePoint now = m_clock->Now();
+  for (const PromptPartReport& report : m_prompt_parts->AllCrashes()) {
+    m_peers->Send(peer.vm, ToNotice(report, now));
+  }
+}
+
+void PeerRelay::SendPromptPartReports() {
+  const TimePoint now = m_clock->Now();
+  for (const PromptPartReport& report : m_prompt_parts->DrainReports()) {
+    m_log->Write(report.crashed_upstream.IsValid() ? "prompt_part_crashed"
+                                                   : "prompt_part_cleared",
+                 {{"part", report.part.Value()},
+                  {"upstream", report.crashed_upstream.Value()},
+                  {"blamed", m_prompt_parts->IsBlamed(report.part)}});
+    for (const VmName& vm : m_entries) {
+      m_peers->Send(vm, ToNotice(report, now));
+    }
+  }
+}
+
+void PeerRelay::HandlePromptPartNotice(const VmName& from,
+                                       const PromptPartNotice& notice) {
+  const TimePoint now = m_clock->Now();
+  const PromptPartReport report{notice.part, notice.upstream, now - notice.age};
+  if (!m_prompt_parts->AddReport(report, now)) return;
+  for (const VmName& vm : m_entries) {
+    if (vm != from) m_peers->Send(vm, notice);
+  }
 }
 
 void PeerRelay::OnPeerDown(const VmName& vm) { m_entries.erase(vm); }
@@ -116,6 +151,8 @@
     HandleRegistrations(from, *list);
   } else if (const auto* notice = std::get_if<CrashNotice>(&message)) {
     HandleCrashNotice(from, *notice);
+  } else if (const auto* part = std::get_if<PromptPartNotice>(&message)) {
+    HandlePromptPartNotice(from, *part);
   }
 }
 
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -21,8 +21,9 @@
 // that it is connected to: its seeds and those that have it as a seed. An entry
 // with an older generation requests the newer configuration. An entry that has
 // no list of upstreams requests one. The store has priority: requests are sent
-// only after a grace period. Reports of requests that crash upstreams are
-// flooded: each entry forwards a report that is new to it to all others.
+// only after a grace period. Reports of requests and prompt parts that crash
+// upstreams are flooded: each entry forwards a report that is new to it to all
+// others.
 class PeerRelay : public PeerEvents {
  public:
   struct Options {
@@ -34,7 +35,8 @@
 
   PeerRelay(const Options& options, const RouteTable* routes,
             const UpstreamDirectory* upstreams,
-            PoisonRequestDetector* poison_detector, PeerLink* peers,
+            PoisonRequestDetector* poison_detector,
+            PromptPartQuarantine* prompt_parts, PeerLink* peers,
             const Clock* clock, EventLog* log, FeedEvents* configuration_events,
             FeedEvents* registration_events);
 
@@ -58,12 +60,16 @@
   void HandleOffer(const VmName& from, const ConfigurationOffer& offer);
   void HandleRegistrations(const VmName& from, const Registrations& message);
   void HandleCrashNotice(const VmName& from, const CrashNotice& notice);
+  void HandlePromptPartNotice(const VmName& from,
+                              const PromptPartNotice& notice);
+  void SendPromptPartReports();
   Generation CurrentGeneration() const;
 
   Options m_options;
   const RouteTable* m_routes;
   const UpstreamDirectory* m_upstreams;
   PoisonRequestDetector* m_poison_detector;
+  PromptPartQuarantine* m_prompt_parts;
   PeerLink* m_peers;
   const Clock* m_clock;
   EventLog* m_log;
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -191,7 +191,7 @@
 bool PlainRequests::MayRetry(const Request& request,
                              CallOutcome outcome) const {
   if (m_board->clock->Now() >= request.routed.deadline) return false;
-  if (IsBarred(request.routed)) return false;
+  if (IsBarred(m_board, request.routed)) return false;
   if (outcome != CallOutcome::kMayHaveRun) return true;
   return request.routed.route.kind == RequestKind::kIdempotent &&
          request.possible_runs < request.routed.route.max_attempts;
@@ -240,11 +240,6 @@
       ->Add(std::chrono::duration<double>(latency).count());
 }
 
-bool PlainRequests::IsBarred(const RoutedRequest& routed) const {
-  const PoisonRequestDetector& detector = m_board->poison_detector;
-  return !detector.IsEmpty() && detector.IsBarred(routed.Fingerprint());
-}
-
 void PlainRequests::Deliver(Request* request) {
   const RoutedRequest& routed = request->routed;
   if (!m_board->poison_detector.IsEmpty()) {
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -71,7 +71,6 @@
   void GiveUp(Request* request, std::string_view reason);
   // Whether another call is allowed, the retry budget aside.
   bool MayRetry(const Request& request, CallOutcome outcome) const;
-  bool IsBarred(const RoutedRequest& routed) const;
   // Forwards the complete response to the caller and ends the request.
   void Deliver(Request* request);
   void StartStream(Request* request);
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -190,7 +190,22 @@
                          m_prefill_rate.TokensPerSecond());
 }
 
+bool StreamCalls::RefuseIfBarred(Stream* stream) {
+  if (!IsBarred(m_board, stream->routed)) return false;
+  constexpr std::string_view kReason = "upstreams that ran it have crashed";
+  if (stream->may_have_run) {
+    FailUnknown(stream, ErrorKind::kUpstreamFailed, kReason);
+    return true;
+  }
+  ReleaseAttempt(stream);
+  FailRequest(m_board, stream->routed, ErrorKind::kBarred, Duration(0),
+              kReason);
+  FinishStream(stream);
+  return true;
+}
+
 void StreamCalls::StartPrefill(Stream* stream) {
+  if (RefuseIfBarred(stream)) return;
   ++stream->prefill_calls;
   const RegisteredUpstream* upstream =
       m_board->upstreams.Find(stream->prefill_engine);
@@ -214,6 +229,7 @@
 }
 
 void StreamCalls::StartDecode(Stream* stream) {
+  if (RefuseIfBarred(stream)) return;
   RoutedRequest& routed = stream->routed;
   const TimePoint now = m_board->clock->Now();
   const RegisteredUpstream* upstream =
@@ -233,6 +249,8 @@
   if (last > 0) call.resume_after_event_id = last;
   stream->prefilled_at = now;
   stream->last_event_at = now;
+  stream->answer_started_at = TimePoint();
+  stream->answer_is_sound = false;
   if (!StartCall(stream, *upstream, call)) {
     FailOverloaded(stream, Duration(0), "no socket");
   }
@@ -318,6 +336,17 @@
         std::max(stream->longest_gap, now - stream->last_event_at);
   }
   stream->last_event_at = now;
+  if (stream->answer_started_at == TimePoint()) stream->answer_started_at = now;
+  if (now - stream->answer_started_at >=
+      PromptPartQuarantine::kSoundAnswerTime) {
+    RecordSoundAnswer(stream);
+  }
+}
+
+void StreamCalls::RecordSoundAnswer(Stream* stream) {
+  if (std::exchange(stream->answer_is_sound, true)) return;
+  m_board->prompt_parts.RecordSoundAnswer(
+      stream->routed.request.shared_prompt_parts, stream->call_started_at);
 }
 
 void StreamCalls::OnOutputDrained(http::ExchangeId id) {
@@ -389,6 +418,7 @@
     if (!m_board->poison_detector.IsEmpty()) {
       m_board->poison_detector.RecordCompleteResponse(routed.Fingerprint());
     }
+    RecordSoundAnswer(stream);
     return FinishStream(stream);
   }
   if (stream->head_sent) return OnDecodeBroken(stream, "resume was refused");
@@ -460,9 +490,11 @@
 
 void StreamCalls::OnDecodeInterrupted(Stream* stream, std::string_view reason) {
   m_reservations->RecordFailure(stream->decode_engine);
-  m_board->poison_detector.RecordBrokenConnection(stream->routed.Fingerprint(),
-                                                  stream->decode_engine,
-                                                  m_board->clock->Now());
+  const RoutedRequest& routed = stream->routed;
+  m_board->poison_detector.RecordBrokenConnection(
+      routed.Fingerprint(), stream->decode_engine, m_board->clock->Now(),
+      stream->answer_is_sound ? std::vector<PromptPartName>()
+                              : routed.request.shared_prompt_parts);
   stream->may_have_run = true;
   OnDecodeBroken(stream, reason);
 }
@@ -474,8 +506,7 @@
   ReleaseAttempt(stream);
   const bool retry = routed.route.kind == RequestKind::kResumableStream &&
                      stream->decode_calls < kMaxDecodeCalls &&
-                     now < routed.deadline &&
-                     !m_board->poison_detector.IsBarred(routed.Fingerprint()) &&
+                     now < routed.deadline && !IsBarred(m_board, routed) &&
                      m_board->retry_budget.TrySpend(routed.service, now);
   if (!retry) return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
   stream->caller_waiting_since = now;
@@ -578,8 +609,21 @@
   return true;
 }
 
+void StreamCalls::RefuseBarredStreams() {
+  std::vector<http::ExchangeId> waiting;
+  for (const auto& [id, stream] : m_streams) {
+    const bool waits = stream.phase == Phase::kReservingDecode ||
+                       stream.phase == Phase::kReservingPrefill;
+    if (waits) waiting.push_back(id);
+  }
+  for (const http::ExchangeId id : waiting) {
+    if (Stream* stream = m_streams.Find(id)) RefuseIfBarred(stream);
+  }
+}
+
 void StreamCalls::Tick() {
   const TimePoint now = m_board->clock->Now();
+  if (m_board->prompt_parts.TakeNewBlame()) RefuseBarredStreams();
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::CallId> slow_prefills;
   std::vector<http::CallId> silent_decodes;
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -70,6 +70,8 @@
     http::Head response_head;
     std::string response_body;  // Of responses that are no event streams.
     TimePoint last_event_at{};
+    TimePoint answer_started_at{};  // First event of the current decode call.
+    bool answer_is_sound = false;   // See PromptPartQuarantine.
     // Since when the caller waits for the first event, or for the next one
     // after the stream broke off.
     TimePoint caller_waiting_since{};
@@ -95,6 +97,13 @@
   void StartDecode(Stream* stream);
   bool StartCall(Stream* stream, const RegisteredUpstream& upstream,
                  const UpstreamCall& call);
+  // The answer of the current decode call shows that the prompt is sound.
+  void RecordSoundAnswer(Stream* stream);
+  // Ends the stream if it must not reach an upstream any more.
+  bool RefuseIfBarred(Stream* stream);
+  // Ends the streams that wait for a reservation and must not reach an upstream
+  // any more.
+  void RefuseBarredStreams();
   // Ends a call whose response is not understood.
   void RejectBytes(http::CallId id);
   // One or more events have arrived; `first`: no event had before.
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -257,13 +257,21 @@
   UpstreamName upstream;
 };
 
+// Entry to entry: an upstream crashed on a part of a prompt, or, without an
+// upstream, the part is sound. See PromptPartQuarantine.
+struct PromptPartNotice {
+  PromptPartName part;
+  UpstreamName upstream;
+  Duration age{0};  // Since the crash or the start of the sound answer.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ReserveDecode, StartPrefill, StartDecode,
                  CancelAttempt, RenewHolds, AttachAttempt, CallService,
                  ReserveGranted, AttemptRefused, PrefillDone, StreamChunk,
                  AttemptFailed, CallAnswered, AttemptReleased, LoadReport,
                  ConfigurationOffer, ConfigurationState, ReservePrefill,
-                 Registrations, CrashNotice, PoolRates>;
+                 Registrations, CrashNotice, PoolRates, PromptPartNotice>;
 
 }  // namespace burdockhill
 
--- a/burdockhill/src/routing/poison_request_detector.cc
+++ b/burdockhill/src/routing/poison_request_detector.cc
@@ -35,23 +35,26 @@
   return RequestFingerprint(hash | 1);
 }
 
-void PoisonRequestDetector::RecordBrokenConnection(RequestFingerprint request,
-                                                   const UpstreamName& upstream,
-                                                   TimePoint now) {
+void PoisonRequestDetector::RecordBrokenConnection(
+    RequestFingerprint request, const UpstreamName& upstream, TimePoint now,
+    std::vector<PromptPartName> parts) {
   if (m_suspects.size() >= kMaxSuspects) m_suspects.erase(m_suspects.begin());
-  m_suspects.push_back({{request, upstream}, now});
+  m_suspects.push_back({{request, upstream}, now, std::move(parts)});
 }
 
-void PoisonRequestDetector::ConfirmCrash(const UpstreamCrash& crash,
+void PoisonRequestDetector::ConfirmCrash(const Suspect& suspect,
                                          TimePoint now) {
-  if (AddCrash(crash, now)) m_new_crashes.push_back(crash);
+  if (AddCrash(suspect.crash, now)) m_new_crashes.push_back(suspect.crash);
+  if (suspect.parts.empty()) return;
+  m_new_prompt_crashes.push_back(
+      {suspect.parts, suspect.crash.upstream, suspect.broken_at});
 }
 
 void PoisonRequestDetector::RecordUnreachable(const UpstreamName& upstream,
                                               TimePoint now) {
   std::erase_if(m_suspects, [&](const Suspect& suspect) {
     if (suspect.crash.upstream != upstream) return false;
-    ConfirmCrash(suspect.crash, now);
+    ConfirmCrash(suspect, now);
     return true;
   });
 }
@@ -67,8 +70,9 @@
                                  TimePoint now) {
   std::erase_if(m_suspects, [&](const Suspect& suspect) {
     if (now - suspect.broken_at > kConfirmationTimeout) return true;
-    if (directory.Find(suspect.crash.upstream) != nullptr) return false;
-    ConfirmCrash(suspect.crash, now);
+    const RegisteredUpstream* upstream = directory.Find(suspect.crash.upstream);
+    if (upstream != nullptr && !directory.IsSuperseded(*upstream)) return false;
+    ConfirmCrash(suspect, now);
     return true;
   });
   std::erase_if(m_counted, [&](const auto& entry) {
@@ -93,6 +97,10 @@
   return std::exchange(m_new_crashes, {});
 }
 
+std::vector<PromptCrash> PoisonRequestDetector::DrainPromptCrashes() {
+  return std::exchange(m_new_prompt_crashes, {});
+}
+
 std::vector<UpstreamCrash> PoisonRequestDetector::AllCrashes() const {
   std::vector<UpstreamCrash> all;
   for (const auto& [request, counted] : m_counted) {
--- a/burdockhill/src/routing/poison_request_detector.h
+++ b/burdockhill/src/routing/poison_request_detector.h
@@ -8,6 +8,7 @@
 
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
+#include "burdockhill/src/routing/prompt_part_quarantine.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
 namespace burdockhill {
@@ -37,15 +38,19 @@
 // response clears it. Entries exchange the crashes that they confirm.
 class PoisonRequestDetector {
  public:
-  // The connection to `upstream` broke while it ran the request.
+  // The connection to `upstream` broke while it ran the request. `parts` are
+  // the shared parts of its prompt, if the upstream had only just begun to
+  // answer.
   void RecordBrokenConnection(RequestFingerprint request,
-                              const UpstreamName& upstream, TimePoint now);
+                              const UpstreamName& upstream, TimePoint now,
+                              std::vector<PromptPartName> parts = {});
   // The upstream refuses connections, which confirms its suspected crashes.
   void RecordUnreachable(const UpstreamName& upstream, TimePoint now);
   // The request got a complete response, which clears it.
   void RecordCompleteResponse(RequestFingerprint request);
-  // Confirms suspected crashes of upstreams that are no longer registered, and
-  // drops expired suspects and bars. Call once per event-loop iteration.
+  // Confirms suspected crashes of upstreams that are no longer registered or
+  // are superseded, and drops expired suspects and bars. Call once per
+  // event-loop iteration.
   void Tick(const UpstreamDirectory& directory, TimePoint now);
 
   // Counts a crash that was confirmed here or by another entry. Returns false
@@ -59,6 +64,9 @@
   // Returns the crashes that this entry confirmed since the last call, which
   // the other entries are to be sent.
   std::vector<UpstreamCrash> DrainNewCrashes();
+  // Returns the confirmed crashes of this entry on prompts with shared parts,
+  // since the last call.
+  std::vector<PromptCrash> DrainPromptCrashes();
   // All counted crashes, of this entry and of the others.
   std::vector<UpstreamCrash> AllCrashes() const;
 
@@ -66,17 +74,19 @@
   struct Suspect {
     UpstreamCrash crash;
     TimePoint broken_at{};
+    std::vector<PromptPartName> parts;
   };
   struct CountedCrashes {
     std::set<UpstreamName> upstreams;
     TimePoint latest_at{};
   };
 
-  void ConfirmCrash(const UpstreamCrash& crash, TimePoint now);
+  void ConfirmCrash(const Suspect& suspect, TimePoint now);
 
   std::vector<Suspect> m_suspects;
   std::map<RequestFingerprint, CountedCrashes> m_counted;
   std::vector<UpstreamCrash> m_new_crashes;
+  std::vector<PromptCrash> m_new_prompt_crashes;
 };
 
 }  // namespace burdockhill
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -86,6 +86,11 @@
     SetBody(Body::Registrations, CreateRegistrations(b, m.request, m.revision,
                                                      b.CreateVector(objects)));
   }
+  void operator()(const burdockhill::PromptPartNotice& m) {
+    SetBody(Body::PromptPartNotice,
+            CreatePromptPartNotice(b, CreateText(b, m.part),
+                                   CreateText(b, m.upstream), m.age.count()));
+  }
   void operator()(const burdockhill::CrashNotice& m) {
     SetBody(Body::CrashNotice,
             CreateCrashNotice(b, m.fingerprint, CreateText(b, m.upstream)));
@@ -281,6 +286,14 @@
   return out;
 }
 
+std::optional<Message> Decode(const PromptPartNotice& m) {
+  burdockhill::PromptPartNotice out;
+  out.part = PromptPartName(ReadText(m.part()));
+  out.upstream = UpstreamName(ReadText(m.upstream()));
+  out.age = Duration(m.age_us());
+  return out;
+}
+
 std::optional<Message> Decode(const CrashNotice& m) {
   return burdockhill::CrashNotice{m.fingerprint(),
                                   UpstreamName(ReadText(m.upstream()))};
@@ -460,6 +473,8 @@
       return Decode(*e.body_as_Registrations());
     case Body::CrashNotice:
       return Decode(*e.body_as_CrashNotice());
+    case Body::PromptPartNotice:
+      return Decode(*e.body_as_PromptPartNotice());
     case Body::ReservePrefill:
       return Decode(*e.body_as_ReservePrefill());
     case Body::RenewHolds:
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -203,8 +203,8 @@
                  const Clock* clock, EventLog* log)
       : updater(&directory, &codec, clock, log),
         relay({VmName(name), {other}, kAgentPort, "main"}, &routes, &directory,
-              &poison_detector, &peers, clock, log, &configuration_applier,
-              &updater) {}
+              &poison_detector, &prompt_parts, &peers, clock, log,
+              &configuration_applier, &updater) {}
 
   // Delivers the messages that this entry has sent; false if there were none.
   bool DeliverTo(const std::string& self, EntryWithRelay* other) {
@@ -218,6 +218,7 @@
   RouteTable routes;
   UpstreamDirectory directory;
   PoisonRequestDetector poison_detector;
+  PromptPartQuarantine prompt_parts;
   PeerLinkFake peers;
   platform::PlatformObjectCodec codec;
   ConfigurationApplier configuration_applier{&routes};
@@ -295,6 +296,29 @@
   }
 }
 
+TEST(PeerRelay, PromptPartsThatCrashUpstreamsAreKnownToAllEntries) {
+  const std::vector<PromptPartName> bad = {PromptPartName("bad")};
+  for (const char* upstream : {"x", "y", "z"}) {
+    m_synced.prompt_parts.RecordCrash(
+        {bad, UpstreamName(upstream), m_clock.Now()}, m_clock.Now());
+  }
+  AdvanceTime(seconds(2));
+  CHECK(m_new.prompt_parts.MustRefuse(bad, m_clock.Now()));
+  // An entry that connects later learns it too.
+  EntryWithRelay late("late", "synced", &m_clock, &m_log);
+  Hello hello;
+  hello.vm = VmName("late");
+  hello.role = Role::kEntry;
+  m_synced.relay.OnPeerUp(hello);
+  while (m_synced.DeliverTo("synced", &late)) {
+  }
+  CHECK(late.prompt_parts.MustRefuse(bad, m_clock.Now()));
+  // A sound answer anywhere clears the part everywhere.
+  m_new.prompt_parts.RecordSoundAnswer(bad, m_clock.Now());
+  AdvanceTime(milliseconds(200));
+  CHECK_FALSE(m_synced.prompt_parts.MustRefuse(bad, m_clock.Now()));
+}
+
 TEST(PeerRelay, OlderConfigurationsAreNeverApplied) {
   AdvanceTime(seconds(2));
   m_new.relay.OnMessage(
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -328,6 +328,21 @@
   CHECK(m_log.Count("reserved_without_agent") > 0);
 }
 
+TEST(Streams, WaitingRequestsAreRefusedOnceAPartOfTheirPromptsIsBlamed) {
+  const SocketId bad =
+      Post("/stream/1", "X-Prompt-Prefix: a:200,bad:300,1:4500\r\n");
+  const SocketId sound = Post("/stream/2", "X-Prompt-Prefix: a:200,2:9\r\n");
+  for (const char* upstream : {"x", "y", "z"}) {
+    m_board.prompt_parts.AddReport(
+        {PromptPartName("bad"), UpstreamName(upstream), m_clock.Now()},
+        m_clock.Now());
+  }
+  Tick();
+  STRCMP_CONTAINS("503", m_sockets.DrainOutput(bad).c_str());
+  STRCMP_EQUAL("", m_sockets.DrainOutput(sound).c_str());
+  CHECK(CountCancels() >= 1);
+}
+
 TEST(Streams, RequestsWithAPromptPartThatCrashedThreeEnginesAreRefused) {
   SocketId caller;
   for (const std::string number : {"1", "2", "3"}) {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -44,6 +44,7 @@
       Registrations{true, 3, {{"u", 2, "{}"}}},
       CrashNotice{77, UpstreamName("u")},
       PoolRates{1.5, 2.5},
+      PromptPartNotice{PromptPartName("p"), UpstreamName("u"), Duration(4)},
       StartPrefill{kAttempt, ServiceName("s"), RequestClass::kInteractive,
                    Tokens(10), "text", "{}", Duration(5)},
       StartDecode{kAttempt, "handle", "source", Tokens(1), Tokens(2), 3, "{}"},
