--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -76,10 +76,10 @@
   }
 }
 
-void FaultProxy::ResetAll() {
+void FaultProxy::CloseAll(bool reset) {
   std::vector<SocketId> ids;
   for (const auto& [id, connection] : m_connections) ids.push_back(id);
-  for (const SocketId id : ids) CloseBoth(id, /*reset=*/true);
+  for (const SocketId id : ids) CloseBoth(id, reset);
 }
 
 }  // namespace burdockhill::soak
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -26,8 +26,8 @@
   void SetFault(Fault fault) { m_fault = fault; }
   // Delays bytes in both directions; their order is kept.
   void SetDelay(Duration delay) { m_delay = delay; }
-  // Resets all open connections.
-  void ResetAll();
+  // Closes or resets all open connections.
+  void CloseAll(bool reset);
 
  private:
   struct Connection {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -6,8 +6,10 @@
 #include <absl/flags/parse.h>
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 #include <memory>
+#include <set>
 #include <thread>
 
 #include "burdockhill/src/http/connection_pool.h"
@@ -21,6 +23,12 @@
 ABSL_FLAG(uint64_t, seed, 1, "Seed of the faults and the load.");
 ABSL_FLAG(int, seconds, 15, "Duration of the load.");
 ABSL_FLAG(int, entries, 2, "Entries that soak/run has started.");
+ABSL_FLAG(int, engines, 4, "Engines, whose agents soak/run has started.");
+ABSL_FLAG(double, rate, 12, "Requests per second.");
+ABSL_FLAG(
+    std::string, signals, "",
+    "File to which soak/run writes the signals that it sends, a line each: "
+    "the daemon's name and the signal.");
 
 namespace burdockhill::soak {
 namespace {
@@ -30,7 +38,6 @@
 using emulation::PlainRunnerFake;
 using nlohmann::json;
 
-constexpr int kEngines = 4;
 constexpr int kPlainServices = 2;
 // Time from the last fault to the check. Longer than the timeout of every
 // request, so that all requests have ended.
@@ -39,7 +46,8 @@
 // last graceful stop is over, restarted entries have reached the store, and all
 // have the configuration.
 constexpr Duration kSettleDelay = std::chrono::seconds(9);
-constexpr double kRequestsPerSecond = 12;
+// One engine in this many computes prompts.
+constexpr int kEnginesPerPrefill = 4;
 
 std::string EntryAddress(int i) {
   return "127.0.0." + std::to_string(11 + i) + ":8000";
@@ -88,6 +96,7 @@
 
   CallKind kind;
   std::string id;
+  int entry = 0;
   http::CallId call;
   int responses = 0;
   int status = 0;
@@ -106,7 +115,7 @@
       : m_random(absl::GetFlag(FLAGS_seed)),
         m_store(&m_sockets, &m_manual_clock, "127.0.0.1:7900") {
     ChangeConfiguration();
-    for (int i = 0; i < kEngines; ++i) AddEngine(i);
+    for (int i = 0; i < absl::GetFlag(FLAGS_engines); ++i) AddEngine(i);
     for (int i = 0; i < kPlainServices; ++i) AddPlain(i);
   }
 
@@ -168,14 +177,15 @@
         "127.0.2." + std::to_string(1 + i) + ":8080";
     ModelRunnerFake::Options options;
     options.address = target_address;
-    options.role = i == 0 ? EngineRole::kPrefill : EngineRole::kDecode;
+    options.role = i % kEnginesPerPrefill == 0 ? EngineRole::kPrefill
+                                               : EngineRole::kDecode;
     m_engines.push_back(std::make_unique<ModelRunnerFake>(
         options, &m_sockets, &m_queue, &m_manual_clock, &m_handles, &m_counts));
     m_proxies.push_back(
         std::make_unique<FaultProxy>(&m_sockets, &m_queue, &m_manual_clock,
                                      EngineHost(i) + ":8080", target_address));
     Register("e" + std::to_string(i), "llm", EngineHost(i), "ready",
-             i == 0 ? "prefill" : "decode");
+             i % kEnginesPerPrefill == 0 ? "prefill" : "decode");
   }
 
   void AddPlain(int i) {
@@ -213,8 +223,8 @@
   }
 
   void SendDueRequests(Duration elapsed) {
-    const double due =
-        std::chrono::duration<double>(elapsed).count() * kRequestsPerSecond;
+    const double due = std::chrono::duration<double>(elapsed).count() *
+                       absl::GetFlag(FLAGS_rate);
     while (static_cast<double>(m_callers.size()) < due) {
       const auto kind = static_cast<CallKind>(m_random.UniformBelow(4));
       const auto entry = static_cast<int>(m_random.UniformBelow(
@@ -227,6 +237,7 @@
   void SendRequest(CallKind kind, const std::string& path, int entry) {
     const std::string id = "r" + std::to_string(m_callers.size());
     auto caller = std::make_unique<Caller>(kind, id);
+    caller->entry = entry;
     caller->is_on_newest_route = path == NewestPath();
     caller->call = m_pool.Start(
         EntryAddress(entry),
@@ -254,9 +265,11 @@
   void InjectFault() {
     if (m_random.UniformBelow(80) != 0) return;
     FaultProxy& proxy = *m_proxies[m_random.UniformBelow(m_proxies.size())];
-    switch (m_random.UniformBelow(12)) {
+    switch (m_random.UniformBelow(13)) {
       case 0:
-        return proxy.ResetAll();
+        return proxy.CloseAll(/*reset=*/true);
+      case 9:
+        return proxy.CloseAll(/*reset=*/false);
       case 1:
         return proxy.SetFault(FaultProxy::Fault::kDropAll);
       case 2:
@@ -322,13 +335,35 @@
       }
     }
     if (!caller.ended && !caller.failed) Report(caller, "never answered");
+    const bool plain = caller.kind == CallKind::kNonIdempotent ||
+                       caller.kind == CallKind::kIdempotent;
+    if (plain && caller.failed && runs > 0 &&
+        !m_disturbed_entries.contains(caller.entry)) {
+      Report(caller,
+             "executed, and cut off by an entry that only had planned "
+             "stops");
+    }
     if (caller.is_on_newest_route && caller.status != http::kOk) {
       Report(caller,
              "newest configuration is not in force after all faults ended");
     }
   }
 
+  // Entries are numbered from 0 here, and from 1 in the file.
+  void ReadSignals() {
+    std::ifstream file(absl::GetFlag(FLAGS_signals));
+    constexpr std::string_view kEntry = "entry-";
+    std::string name;
+    std::string signal;
+    while (file >> name >> signal) {
+      const bool planned = signal == "TERM" || signal == "HUP";
+      if (planned || !name.starts_with(kEntry)) continue;
+      m_disturbed_entries.insert(std::stoi(name.substr(kEntry.size())) - 1);
+    }
+  }
+
   int CheckResults() {
+    ReadSignals();
     for (const auto& caller : m_callers) CheckCaller(*caller);
     int64_t held_tokens = 0;
     for (const auto& engine : m_engines) held_tokens += engine->MemoryUsed();
@@ -366,6 +401,7 @@
   std::vector<std::unique_ptr<FaultProxy>> m_proxies;
   http::ConnectionPool m_pool{&m_sockets, &m_system_clock};
   std::vector<std::unique_ptr<Caller>> m_callers;
+  std::set<int> m_disturbed_entries;  // That were killed or paused.
   int m_served_count = 0;
   int m_violations = 0;
 };
