--- a/burdockhill/src/adapters/engine_client.h
+++ b/burdockhill/src/adapters/engine_client.h
@@ -7,8 +7,8 @@
 
 #include "burdockhill/src/agent/engine_link.h"
 #include "burdockhill/src/base/table.h"
-#include "burdockhill/src/resources/settings.h"
 #include "burdockhill/src/http/http_client.h"
+#include "burdockhill/src/resources/settings.h"
 
 namespace burdockhill {
 
--- a/burdockhill/src/adapters/platform_client.h
+++ b/burdockhill/src/adapters/platform_client.h
@@ -3,8 +3,8 @@
 
 #include <string>
 
-#include "burdockhill/src/store/object_store.h"
 #include "burdockhill/src/http/http_client.h"
+#include "burdockhill/src/store/object_store.h"
 
 namespace burdockhill {
 
