--- a/burdockhill/src/adapters/operators_api.cc
+++ b/burdockhill/src/adapters/operators_api.cc
@@ -175,7 +175,7 @@
       return;
     }
     Page page = handler(request.path.substr(path.size()));
-    m_server->Respond(id, page.status, page.content_type, std::move(page.body));
+    m_server->Respond(id, page.status, page.content_type, page.body);
     return;
   }
   m_server->Respond(id, 404, kTextContentType, "no such page\n");
--- a/burdockhill/src/http/sse_event_splitter.cc
+++ b/burdockhill/src/http/sse_event_splitter.cc
@@ -17,7 +17,7 @@
   const std::string* type = head.headers.Find("Content-Type");
   if (type == nullptr) return true;
   const std::string_view media_type =
-      std::string_view(*type).substr(0, kEventStreamType.size());
+      std::string_view{*type}.substr(0, kEventStreamType.size());
   return EqualsIgnoringCase(media_type, kEventStreamType);
 }
 
@@ -42,7 +42,7 @@
         m_partial.find_first_of(kLineEnds, std::max(m_line_start, m_scanned));
     if (end == std::string::npos) break;
     const std::string_view line =
-        std::string_view(m_partial).substr(m_line_start, end - m_line_start);
+        std::string_view{m_partial}.substr(m_line_start, end - m_line_start);
     m_after_cr = m_partial[end] == '\r';
     m_line_start = end + 1;
     if (line.empty()) {
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -76,8 +76,8 @@
   for (const std::string line_end : {"\n", "\r\n", "\r"}) {
     SocketId caller;
     const SocketId decode = StartDecodeCall("/stream/x", &caller);
-    const std::string event =
-        "id: 1" + line_end + "data: a" + line_end + line_end;
+    std::string event = "id: 1";
+    event.append(line_end).append("data: a").append(line_end).append(line_end);
     EndResponse(&m_sockets, decode, "", event);
     const std::string forwarded = m_sockets.DrainOutput(caller);
     STRCMP_CONTAINS(event.c_str(), forwarded.c_str());
--- a/tests/http_test_events.cc
+++ b/tests/http_test_events.cc
@@ -28,9 +28,10 @@
 
 TEST(SseEventSplitter, AnyLineEndAndAnyReadSizeGivesTheSameEvents) {
   for (const std::string line_end : {"\n", "\r\n", "\r"}) {
-    const std::string event =
-        ": note" + line_end + "id: 7" + line_end + "data: a" + line_end;
-    const std::string text = event + line_end + event + line_end;
+    std::string event = ": note";
+    event.append(line_end).append("id: 7").append(line_end);
+    event.append("data: a").append(line_end).append(line_end);
+    const std::string text = event + event;
     for (size_t step = 1; step <= text.size(); ++step) {
       SseEventSplitter events;
       std::string complete_events;
--- a/tests/routing_test_prompt_parts.cc
+++ b/tests/routing_test_prompt_parts.cc
@@ -120,6 +120,7 @@
 TEST(PromptPartQuarantine, TakesBoundedMemory) {
   for (int crash = 0; crash < 100; ++crash) {
     std::vector<std::string> names;
+    names.reserve(1000);
     for (int i = 0; i < 1000; ++i) {
       names.push_back(std::to_string(crash) + "-" + std::to_string(i));
     }
