Requests in progress at the end of a planned stop are answered

What callers saw: a call that ran when its entry was stopped as planned, and had no answer after the stop time, lost its connection without a word.

Cause: an entry that stops refuses requests that would outlast it, but those it had taken until 2.6 s after the signal keep the deadline of their route.

Fix: at the shutdown deadline, 0.4 s before the stop time, whatever is in progress ends as at its own deadline: 504 if it may have run, 503 if not. The caller learns that the outcome is unknown. Streams that have begun are still cut.

Gateway, RequestsInProgressAtTheEndOfAPlannedStopAreAnswered failed before (no answer).

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -323,9 +323,12 @@
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::ExchangeId> unresponsive;
   std::vector<http::ExchangeId> abandon;
+  // The process ends soon, and each caller gets an answer before.
+  const bool stopping = m_board->shutdown_deadline != TimePoint() &&
+                        now >= m_board->shutdown_deadline;
   for (const auto& [id, request] : m_requests) {
     const Route& route = request.routed.route;
-    if (now >= request.routed.deadline) {
+    if (stopping || now >= request.routed.deadline) {
       timed_out.push_back(id);
     } else if (request.disconnected_at.has_value()) {
       const bool over =
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -627,8 +627,11 @@
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::CallId> slow_prefills;
   std::vector<http::CallId> silent_decodes;
+  // The process ends soon, and each caller gets an answer before.
+  const bool stopping = m_board->shutdown_deadline != TimePoint() &&
+                        now >= m_board->shutdown_deadline;
   for (const auto& [id, stream] : m_streams) {
-    if (now >= stream.routed.deadline) {
+    if (stopping || now >= stream.routed.deadline) {
       timed_out.push_back(id);
     } else if (stream.phase == Phase::kPrefilling &&
                now - stream.call_started_at >
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -283,6 +283,20 @@
   CHECK(m_gateway.IsIdle());
 }
 
+TEST(Gateway, RequestsInProgressAtTheEndOfAPlannedStopAreAnswered) {
+  const SocketId running = Post("/once/x");
+  EstablishPlain();
+  const SocketId stream = Post("/stream/x");
+  m_board.shutdown_deadline = m_clock.Now() + seconds(1);
+  AdvanceTime(milliseconds(900));
+  STRCMP_EQUAL("", m_sockets.DrainOutput(running).c_str());
+  AdvanceTime(milliseconds(200));
+  STRCMP_CONTAINS("HTTP/1.1 504", m_sockets.DrainOutput(running).c_str());
+  // Nothing of the stream has reached an engine.
+  STRCMP_CONTAINS("HTTP/1.1 503", m_sockets.DrainOutput(stream).c_str());
+  CHECK(m_gateway.IsIdle());
+}
+
 TEST(Gateway, IsNotReadyWithoutAConfiguration) {
   EntryBoard empty(ZoneName("z"));
   empty.clock = &m_clock;
