Log and count the rate limits that upstreams state

The logs could not tell the three hypotheses apart: no line said that an upstream states a limit. Now an entry decodes the limit in each response, writes rate_limit_stated when it changes, and counts the calls that it makes to upstreams with a limit, first ones and retries apart. A failure without the field does not lift a limit, nor does a response to a call from before the latest statement.

--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -12,6 +12,7 @@
 #include "burdockhill/src/http/message.h"
 #include "burdockhill/src/routing/kv_cache_ledger.h"
 #include "burdockhill/src/routing/routes.h"
+#include "burdockhill/src/routing/stated_rate_limits.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
 namespace burdockhill {
@@ -66,6 +67,7 @@
 struct ResponseMetadata {
   std::string request_id;
   bool not_run = false;  // The upstream guarantees that nothing ran.
+  RateLimitValue rate_limit;
 };
 
 // Decodes HTTP requests of callers and encodes calls to upstreams, following
--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -4,6 +4,8 @@
 
 namespace {
 
+constexpr int kFirstErrorStatus = 500;
+
 int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -20,6 +22,34 @@
                                         board->clock->Now());
 }
 
+void RecordRateLimit(EntryBoard* board, const RoutedRequest& routed,
+                     const http::Head& response,
+                     const ResponseMetadata& metadata, TimePoint called_at) {
+  // Another upstream has the address.
+  if (response.status == http::kMisdirected) return;
+  const UpstreamName& upstream = routed.last_upstream;
+  // A failure without a limit does not say that the limit has ended.
+  const bool failed = metadata.not_run || response.status >= kFirstErrorStatus;
+  if (failed && !metadata.rate_limit.has_value()) return;
+  if (!board->rate_limits.RecordResponse(upstream, metadata.rate_limit,
+                                         called_at, board->clock->Now())) {
+    return;
+  }
+  board->log->Write("rate_limit_stated",
+                    {{"upstream", upstream.Value()},
+                     {"request", routed.request.id},
+                     {"limited", metadata.rate_limit.has_value()},
+                     {"requests_per_second", metadata.rate_limit.value_or(0)}});
+}
+
+void CountLimitedCall(EntryBoard* board, const RoutedRequest& routed,
+                      const UpstreamName& upstream, bool is_retry) {
+  if (!board->rate_limits.Find(upstream).has_value()) return;
+  board->metrics.IncrementCounter(
+      "burdockhill_limited_calls_total",
+      LabelsFor(routed.service, is_retry ? "retry" : "first"));
+}
+
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
                  Duration retry_after, std::string_view reason) {
   const ErrorResponse& answer = ErrorResponseFor(kind);
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -11,6 +11,7 @@
 #include "burdockhill/src/routing/poison_request_detector.h"
 #include "burdockhill/src/routing/retry_budget.h"
 #include "burdockhill/src/routing/route_table.h"
+#include "burdockhill/src/routing/stated_rate_limits.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
 namespace burdockhill {
@@ -28,6 +29,7 @@
   PoisonRequestDetector poison_detector;
   PromptPartQuarantine prompt_parts;
   PlainPlacement placement;
+  StatedRateLimits rate_limits;
   MetricsRegistry metrics;
   bool leaving = false;  // A graceful shutdown has begun.
   // Requests whose deadline is later are refused. Zero until the load balancer
@@ -76,6 +78,16 @@
 // have crashed, so that it must not reach another one.
 bool IsBarred(EntryBoard* board, const RoutedRequest& routed);
 
+// Records whether the upstream of a call that began at `called_at` states a
+// rate limit in its response.
+void RecordRateLimit(EntryBoard* board, const RoutedRequest& routed,
+                     const http::Head& response,
+                     const ResponseMetadata& metadata, TimePoint called_at);
+
+// Counts a call to an upstream if that has stated a rate limit.
+void CountLimitedCall(EntryBoard* board, const RoutedRequest& routed,
+                      const UpstreamName& upstream, bool is_retry);
+
 // Sends the caller an error response, logs it and counts it. If `retry_after`
 // is zero, a 503 response carries the default of `kind`.
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -73,6 +73,7 @@
   const TimePoint now = m_board->clock->Now();
   m_board->upstreams.Expire(now);
   m_board->placement.DropUnregistered(m_board->upstreams);
+  m_board->rate_limits.DropUnregistered(m_board->upstreams, now);
   m_board->poison_detector.Tick(m_board->upstreams, now);
   for (const PromptCrash& crash :
        m_board->poison_detector.DrainPromptCrashes()) {
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -73,6 +73,8 @@
       m_board->codec->EncodeCall(routed.request, *upstream, call), this,
       PolicyFor(routed.route));
   m_board->placement.RecordCallStart(upstream->name);
+  CountLimitedCall(m_board, routed, upstream->name,
+                   request->tried_upstreams.size() > 1);
   if (!request->call.IsValid()) {
     RecordCallEnd(request, CallResult::kUnreachable);
     FailRequest(m_board, routed, ErrorKind::kOverloaded, Duration(0),
@@ -94,6 +96,8 @@
                          {"upstream", request->routed.last_upstream.Value()}});
     return false;
   }
+  RecordRateLimit(m_board, request->routed, head, metadata,
+                  request->call_started_at);
   request->response_head = head;
   const bool stream = IsStream(request->routed.route.kind);
   if (stream && head.status == http::kOk && !metadata.not_run) {
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -143,6 +143,8 @@
       m_board->codec->EncodeCall(stream->routed.request, upstream, call), this,
       {});
   if (!stream->call.IsValid()) return false;
+  CountLimitedCall(m_board, stream->routed, upstream.name,
+                   stream->prefill_calls > 1 || stream->decode_calls > 1);
   m_exchanges_by_call.FindOrInsert(stream->call, stream->routed.exchange);
   return true;
 }
@@ -270,6 +272,8 @@
       metadata.request_id == stream->routed.request.id ||
       (stream->phase == Phase::kPrefilling && metadata.request_id.empty());
   if (!is_own_response) return false;
+  RecordRateLimit(m_board, stream->routed, head, metadata,
+                  stream->call_started_at);
   stream->response_head = head;
   if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
   stream->may_have_run = true;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -150,6 +150,21 @@
   CHECK(m_codec.DecodeResponseMetadata(misdirected).not_run);
 }
 
+TEST(RequestCodec, DecodesRateLimitsOfUpstreams) {
+  const auto decode = [this](const std::string& text) {
+    http::Head head;
+    head.headers.Add("Server-Limit", text);
+    return m_codec.DecodeResponseMetadata(head).rate_limit;
+  };
+  DOUBLES_EQUAL(5.7, decode("5.7").value(), 1e-9);
+  DOUBLES_EQUAL(0, decode("0").value(), 1e-9);
+  DOUBLES_EQUAL(12, decode("12").value(), 1e-9);
+  for (const char* text : {"", "-1", "x", "5.7 a second", "inf", "nan"}) {
+    CHECK(!decode(text).has_value());
+  }
+  CHECK(!m_codec.DecodeResponseMetadata(http::Head()).rate_limit.has_value());
+}
+
 TEST(RequestCodec, DecodesPrefillAnswers) {
   const auto kv = m_codec.DecodePrefill(
       Engine(), R"({"kvHandle":"3f","tokens":1460,"version":1})");
