Failing test: upstreams get more than the rate that they state

The emulated deployment gets plain upstreams, entries that are seeds of each other, restart, join, freeze and are cut off, and upstreams that state a rate limit.

--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -12,11 +12,19 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 constexpr uint16_t kPeerPort = 7660;
 constexpr char kService[] = "llm";
+constexpr char kPlainService[] = "plain";
+constexpr Duration kPlainCallTime = std::chrono::milliseconds(60);
+constexpr int kEntriesPerSubnet = 200;
 constexpr int kSlots = 64;
 constexpr double kLengthSigma = 0.5;
 
 std::string EntryAddress(int index) {
-  return "10.0.0." + std::to_string(index + 1) + ":80";
+  return "10.1." + std::to_string(index / kEntriesPerSubnet) + "." +
+         std::to_string(index % kEntriesPerSubnet + 1) + ":80";
+}
+
+std::string PlainAddress(int index) {
+  return "10.0.2." + std::to_string(index + 1) + ":80";
 }
 
 std::string RunnerHost(int index) {
@@ -36,11 +44,20 @@
   route.latency_target = std::chrono::milliseconds(900);
   route.gap_target = std::chrono::milliseconds(300);
   route.max_attempts = 2;
-  configuration.routes = {route};
+  Route plain = route;
+  plain.name = RouteName("plain");
+  plain.path_prefix = "/plain/";
+  plain.kind = RequestKind::kIdempotent;
+  plain.services = {{ServiceName(kPlainService), 1}};
+  plain.timeout = std::chrono::seconds(3);
+  plain.latency_target = std::chrono::milliseconds(300);
+  configuration.routes = {route, plain};
+  Service plain_service;
+  plain_service.name = ServiceName(kPlainService);
   Service service;
   service.name = ServiceName(kService);
   service.engine = EngineLimits{kSlots, memory};
-  configuration.services = {service};
+  configuration.services = {service, plain_service};
   return configuration;
 }
 
@@ -70,7 +87,7 @@
 
   static Hello MakeHello(int index) {
     Hello hello;
-    hello.vm = VmName("entry-" + std::to_string(index));
+    hello.vm = EntryVm(index);
     return hello;
   }
 
@@ -81,6 +98,8 @@
     server.CheckTimeouts(now);
   }
 
+  PeerEvents* Events() { return &reservations; }
+
   DeploymentLink link;
   Random random;
   http::ConnectionPool pool;
@@ -129,7 +148,12 @@
   bool OnResponseHead(http::CallId /*id*/, const http::Head& head) override {
     ++m_result->response_count;
     m_result->status = head.status;
-    m_result->has_retry_after = head.headers.Find("Retry-After") != nullptr;
+    const std::string* retry_after = head.headers.Find("Retry-After");
+    m_result->has_retry_after = retry_after != nullptr;
+    if (retry_after != nullptr) {
+      m_result->retry_after =
+          Duration(static_cast<int64_t>(std::stod(*retry_after) * 1e6));
+    }
     return true;
   }
   void OnResponseBody(http::CallId /*id*/, std::string_view bytes) override {
@@ -169,12 +193,17 @@
   GatewayDeployment* owner = m_deployment;
   owner->m_queue.Schedule(kNetworkDelay, [owner, vm, self = m_self] {
     const auto peer = owner->m_peers.find(vm);
-    if (peer == owner->m_peers.end()) return;
+    const auto own = owner->m_peers.find(self.vm);
+    if (peer == owner->m_peers.end() || own == owner->m_peers.end() ||
+        owner->IsCut(vm, self.vm) || owner->m_frozen.contains(vm)) {
+      return;
+    }
     Hello other;
     other.vm = vm;
-    other.role = Role::kAgent;
+    other.role =
+        vm.Value().starts_with("10.0.1.") ? Role::kAgent : Role::kEntry;
     peer->second->OnPeerUp(self);
-    owner->m_peers.at(self.vm)->OnPeerUp(other);
+    own->second->OnPeerUp(other);
   });
 }
 
@@ -182,8 +211,8 @@
   GatewayDeployment* owner = m_deployment;
   owner->m_queue.Schedule(
       kNetworkDelay, [owner, vm, from = m_self.vm, sent = std::move(message)] {
-        const auto peer = owner->m_peers.find(vm);
-        if (peer != owner->m_peers.end()) peer->second->OnMessage(from, sent);
+        if (owner->IsCut(from, vm)) return;
+        owner->Deliver(from, vm, sent);
       });
 }
 
@@ -226,22 +255,75 @@
         this, RunnerHost(i), RunnerHost(i) + ":80", upstreams));
     m_peers[VmName(RunnerHost(i))] = &m_agents.back()->agent;
   }
-  const RoutingConfiguration routes =
-      MakeConfiguration(options.kind, Tokens(options.kv_memory));
-  for (int i = 0; i < options.entries; ++i) {
-    m_entries.push_back(std::make_unique<Entry>(this, i, routes));
-    m_peers[Entry::MakeHello(i).vm] = &m_entries.back()->reservations;
-    m_entries.back()->board.upstreams.ApplyList(upstreams, 1, m_clock.Now());
+  for (int i = 0; i < options.plain_upstreams; ++i) {
+    m_plain.push_back(std::make_unique<PlainUpstreamFake>(
+        PlainAddress(i), kPlainCallTime, &m_socket_network, &m_queue,
+        &m_clock));
+    RegisteredUpstream upstream;
+    upstream.name = UpstreamName("plain-" + std::to_string(i));
+    upstream.service = ServiceName(kPlainService);
+    upstream.address = PlainAddress(i);
+    upstream.zone = ZoneName("z");
+    upstream.revision = 1;
+    upstreams.push_back(upstream);
   }
+  m_routes = MakeConfiguration(options.kind, Tokens(options.kv_memory));
+  for (int i = 0; i < options.entries; ++i) AddEntry();
   RunFor(std::chrono::milliseconds(500));
 }
 
 GatewayDeployment::~GatewayDeployment() = default;
 
+VmName GatewayDeployment::EntryVm(int index) {
+  return VmName(ParseAddress(EntryAddress(index))->host);
+}
+
+void GatewayDeployment::StartEntry(int index) {
+  auto entry = std::make_unique<Entry>(this, index, m_routes);
+  m_peers[EntryVm(index)] = entry->Events();
+  entry->board.upstreams.ApplyList(m_registrations, 1, m_clock.Now());
+  m_entries.at(static_cast<size_t>(index)) = std::move(entry);
+}
+
+void GatewayDeployment::AddEntry() {
+  m_entries.emplace_back();
+  StartEntry(EntryCount() - 1);
+}
+
+void GatewayDeployment::RestartEntry(int index) {
+  const VmName vm = EntryVm(index);
+  m_peers.erase(vm);
+  m_socket_network.KillListeningProcess(EntryAddress(index));
+  m_entries.at(static_cast<size_t>(index)).reset();
+  for (const auto& [other, events] : m_peers) events->OnPeerDown(vm);
+  StartEntry(index);
+}
+
+void GatewayDeployment::ThawEntry(int index) {
+  const VmName vm = EntryVm(index);
+  m_frozen.erase(vm);
+  for (const HeldMessage& held : std::exchange(m_held, {})) {
+    Deliver(held.from, held.to, held.message);
+  }
+}
+
+void GatewayDeployment::Deliver(const VmName& from, const VmName& to,
+                                const Message& message) {
+  if (m_frozen.contains(to)) {
+    m_held.push_back({from, to, message});
+    return;
+  }
+  const auto peer = m_peers.find(to);
+  if (peer != m_peers.end()) peer->second->OnMessage(from, message);
+}
+
 void GatewayDeployment::TickAll() {
   const TimePoint now = m_clock.Now();
   for (const auto& agent : m_agents) agent->Tick(now);
-  for (const auto& entry : m_entries) entry->Tick(now);
+  for (int i = 0; i < EntryCount(); ++i) {
+    if (m_frozen.contains(EntryVm(i))) continue;
+    m_entries.at(static_cast<size_t>(i))->Tick(now);
+  }
 }
 
 void GatewayDeployment::UpdateRegistrations() {
@@ -291,21 +373,46 @@
       static_cast<double>(estimate) * std::exp(kLengthSigma * normal),
       10.0 * static_cast<double>(m_options.tokens_per_event),
       130.0 * static_cast<double>(m_options.tokens_per_event)));
+  const auto entry = static_cast<int>(m_random.UniformBelow(m_entries.size()));
+  Call(id, entry,
+       "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+           "\r\nX-Token-Counts: " + std::to_string(prompt) + ",7930" +
+           "\r\nX-Length-Hint: " + std::to_string(estimate) +
+           "\r\nX-True-Length: " + std::to_string(length) +
+           "\r\nX-Deadline-Ms: 14000\r\nContent-Length: 0\r\n\r\n");
+}
+
+void GatewayDeployment::Call(const std::string& id, int entry,
+                             const std::string& request) {
   CallerResult& result = m_results[id];
   result.sent_at = m_clock.Now();
   auto caller = std::make_unique<Caller>(&result, &m_clock);
-  const auto entry = static_cast<int>(m_random.UniformBelow(m_entries.size()));
-  caller->call = m_caller_pool.Start(
-      EntryAddress(entry),
-      "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
-          "\r\nX-Token-Counts: " + std::to_string(prompt) + ",7930" +
-          "\r\nX-Length-Hint: " + std::to_string(estimate) +
-          "\r\nX-True-Length: " + std::to_string(length) +
-          "\r\nX-Deadline-Ms: 14000\r\nContent-Length: 0\r\n\r\n",
-      caller.get(), {});
+  caller->call =
+      m_caller_pool.Start(EntryAddress(entry), request, caller.get(), {});
   m_callers[id] = std::move(caller);
 }
 
+void GatewayDeployment::SendPlainRequest(const std::string& id, int entry) {
+  Call(id, entry,
+       "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
+}
+
+void GatewayDeployment::GeneratePlainLoad(double per_second, Duration time,
+                                          const std::function<int()>& choose) {
+  const TimePoint start = m_clock.Now();
+  const size_t first = m_results.size();
+  size_t sent = 0;
+  while (m_clock.Now() < start + time) {
+    const double seconds =
+        std::chrono::duration<double>(m_clock.Now() - start).count();
+    while (static_cast<double>(sent) < seconds * per_second) {
+      SendPlainRequest("p" + std::to_string(first + sent++), choose());
+    }
+    RunFor(kTickInterval);
+  }
+}
+
 void GatewayDeployment::DisconnectCaller(const std::string& id) {
   m_caller_pool.Cancel(m_callers.at(id)->call);
   m_results.at(id).disconnected = true;
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -1,13 +1,16 @@
 #ifndef BURDOCKHILL_EMULATION_GATEWAY_DEPLOYMENT_H_
 #define BURDOCKHILL_EMULATION_GATEWAY_DEPLOYMENT_H_
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "burdockhill/gateway.h"
 #include "emulation/model_runner_fake.h"
+#include "emulation/plain_upstream_fake.h"
 #include "emulation/socket_network_fake.h"
 #include "platform/platform.h"
 
@@ -38,6 +41,7 @@
 // What one caller received, and when.
 struct CallerResult {
   TimePoint sent_at{};
+  Duration retry_after{0};  // As the response says; zero if it does not.
   TimePoint first_event_at{};
   TimePoint last_event_at{};
   TimePoint ended_at{};
@@ -72,6 +76,9 @@
     Duration prefill_overhead{0};
     int64_t tokens_per_event = 61;
     bool ignores_orders = false;
+    int plain_upstreams = 0;
+    // The first entries are seeds, to which the others connect.
+    int seeds = 3;
     uint64_t seed = 1;
   };
 
@@ -82,6 +89,8 @@
   // estimate times a log-normal factor with median 1 and sigma 0.5, limited to
   // 10 to 130 events.
   void SendRequest(const std::string& id);
+  // Sends a caller's request for the plain service to this entry.
+  void SendPlainRequest(const std::string& id, int entry);
   // Closes the connection of the caller of request `id`.
   void DisconnectCaller(const std::string& id);
   void CrashDecodeRunner(int index);
@@ -89,11 +98,34 @@
   // the registry still has the old name.
   void RegisterRunnersAgain();
 
+  // Ends the process of an entry and starts a new one at its address.
+  void RestartEntry(int index);
+  // An entry that joins, at an address of its own.
+  void AddEntry();
+  // The messages between this entry and its peers are lost from now on.
+  void CutEntry(int index) { m_cut.insert(EntryVm(index)); }
+  void HealEntry(int index) { m_cut.erase(EntryVm(index)); }
+  // The entry does not run until it is thawed, and then gets the messages that
+  // were sent to it meanwhile.
+  void FreezeEntry(int index) { m_frozen.insert(EntryVm(index)); }
+  void ThawEntry(int index);
+
   TimePoint Now() const { return m_clock.Now(); }
   void RunFor(Duration time);
   // Sends `per_second` requests a second for `time`, while the emulation runs.
   void GenerateLoad(double per_second, Duration time);
 
+  // Sends `per_second` plain requests a second for `time` to entries that
+  // `choose` picks.
+  void GeneratePlainLoad(double per_second, Duration time,
+                         const std::function<int()>& choose);
+
+  RequestRate& PlainRate(int index) { return m_plain.at(index)->Rate(); }
+  PlainUpstreamFake& Plain(int index) { return *m_plain.at(index); }
+  RequestRate& RunnerRate(int index) { return m_runners.at(index)->Rate(); }
+  Random& Randomness() { return m_random; }
+  int EntryCount() const { return static_cast<int>(m_entries.size()); }
+
   std::map<std::string, CallerResult>& Results() { return m_results; }
   RunnerCounters& Counts() { return m_counts; }
   int64_t MemoryUsed() const;
@@ -110,7 +142,15 @@
   struct Agent;
   class Caller;
 
+  static VmName EntryVm(int index);
   void TickAll();
+  void StartEntry(int index);
+  void Call(const std::string& id, int entry, const std::string& request);
+  bool IsCut(const VmName& one, const VmName& other) const {
+    return m_cut.contains(one) || m_cut.contains(other);
+  }
+  // Passes a message to a peer that runs.
+  void Deliver(const VmName& from, const VmName& to, const Message& message);
   // Registers each runner whose role has changed with its new role.
   void UpdateRegistrations();
   void Register(const RegisteredUpstream& registration);
@@ -126,6 +166,16 @@
   KvHandles m_handles;
   RunnerCounters m_counts;
   std::map<VmName, PeerEvents*> m_peers;
+  std::set<VmName> m_cut;
+  std::set<VmName> m_frozen;
+  struct HeldMessage {
+    VmName from;
+    VmName to;
+    Message message;
+  };
+  std::vector<HeldMessage> m_held;  // For frozen entries.
+  RoutingConfiguration m_routes;
+  std::vector<std::unique_ptr<PlainUpstreamFake>> m_plain;
   std::vector<std::unique_ptr<ModelRunnerFake>> m_runners;
   std::vector<RegisteredUpstream> m_registrations;  // Of each runner.
   std::vector<std::string> m_decode_addresses;
--- a/emulation/model_runner_fake.cc
+++ b/emulation/model_runner_fake.cc
@@ -29,6 +29,7 @@
                                  EventQueue* queue, const Clock* clock,
                                  KvHandles* handles, RunnerCounters* counts)
     : m_options(options),
+      m_clock(clock),
       m_queue(queue),
       m_handles(handles),
       m_counts(counts),
@@ -44,6 +45,7 @@
   head.status = status;
   if (!request_id.empty()) head.headers.Add("X-Request-Id", request_id);
   if (not_run) head.headers.Add("X-Not-Executed", "1");
+  m_rate.StateLimit(&head);
   m_server.Respond(id, head, body);
 }
 
@@ -57,6 +59,7 @@
     return Respond(id, http::kOk, "", "");
   }
   if (head.target == "/-/order") return HandleRoleOrder(id, body);
+  m_rate.Count(m_clock->Now());
   if (m_is_changing_role) {
     return Respond(id, http::kUnavailable, request_id, "", /*not_run=*/true);
   }
@@ -171,6 +174,7 @@
   answer.status = http::kOk;
   answer.headers.Add("X-Request-Id", request_id);
   answer.headers.Add("X-Response-Seal", "seal");
+  m_rate.StateLimit(&answer);
   m_server.StartStream(id, answer);
 }
 
--- a/emulation/model_runner_fake.h
+++ b/emulation/model_runner_fake.h
@@ -9,6 +9,7 @@
 #include "burdockhill/src/http/server.h"
 #include "burdockhill/src/peer/message.h"
 #include "emulation/event_queue.h"
+#include "emulation/request_rate.h"
 
 namespace burdockhill::emulation {
 
@@ -60,6 +61,8 @@
   int64_t MemoryUsed() const;
   size_t RunCount() const { return m_runs.size(); }
   EngineRole Role() const { return m_options.role; }
+  // Of the calls that compute prompts or decode.
+  RequestRate& Rate() { return m_rate; }
   // Stops the runner permanently; requests in progress are lost.
   void Crash() { m_crashed = true; }
 
@@ -92,6 +95,8 @@
   void PreemptUntilMemorySuffices();
 
   Options m_options;
+  RequestRate m_rate;
+  const Clock* m_clock;
   EventQueue* m_queue;
   KvHandles* m_handles;
   RunnerCounters* m_counts;
