Upstreams get no more than the rate that they state, from all entries together

Cause: no entry read the limit. Class: a bound on the work of all processes that no process is responsible for; a limit that each entry keeps by itself would be exceeded by the number of entries.

Fix: each request to an upstream with a limit needs a permit, first attempts, retries and resumed streams alike. One seed, the same for all entries, hands out the permits of an upstream (PermitCoordinators, PermitSchedule), so that they go to the entries that have requests; a permit that nobody asks for is not lost to a share. Coordinators that do not see each other divide the limit, and an entry that reaches none uses a part of its even share. Entries tell each other the limits. A request that gets no permit in time goes to another upstream or is rejected at once, with a Retry-After that spreads callers as the limits allow.

Why it works: at most rate * 4.5 + 1 permits become usable in 4 s, for any number of entries, whereever the requests arrive.

--- a/burdockhill/routing.h
+++ b/burdockhill/routing.h
@@ -8,6 +8,8 @@
 #include "burdockhill/src/routing/engine_admission.h"     // IWYU pragma: export
 #include "burdockhill/src/routing/kv_cache_ledger.h"      // IWYU pragma: export
 #include "burdockhill/src/routing/output_length_model.h"  // IWYU pragma: export
+#include "burdockhill/src/routing/permit_coordinators.h"  // IWYU pragma: export
+#include "burdockhill/src/routing/permit_schedule.h"      // IWYU pragma: export
 #include "burdockhill/src/routing/plain_placement.h"      // IWYU pragma: export
 #include "burdockhill/src/routing/poison_request_detector.h"  // IWYU pragma: export
 #include "burdockhill/src/routing/pool_balance.h"  // IWYU pragma: export
--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -147,8 +147,10 @@
 
   Reservations reservations({context.incarnation, settings.peer_port}, &board,
                             &context.peers);
-  PlainRequests plain(&board);
-  StreamCalls streams(&board, &reservations);
+  UpstreamPermits permits({settings.vm, settings.seeds, settings.peer_port},
+                          &board, &context.peers);
+  PlainRequests plain(&board, &permits);
+  StreamCalls streams(&board, &reservations, &permits);
   reservations.SetEvents(&streams);
   Gateway gateway(&board, &plain, &streams);
   http::Server server(&context.sockets, &context.clock, &gateway);
@@ -174,7 +176,7 @@
                   &board.routes, &board.upstreams, &board.poison_detector,
                   &board.prompt_parts, &context.peers, &context.clock,
                   &context.log, &configuration_updater, &upstream_updater);
-  PeerEventDispatcher peer_dispatcher(&reservations, &relay);
+  PeerEventDispatcher peer_dispatcher(&reservations, {&relay, &permits});
   context.peers.SetEvents(&peer_dispatcher);
   CachingConfigurationEvents caching_configurations(&configuration_updater,
                                                     &relay);
@@ -200,6 +202,7 @@
     relay.Tick();
     board.connected_entries = relay.ConnectedEntries();
     reservations.Tick();
+    permits.Tick();
     gateway.Tick();
     context.peers.Flush(now);
     context.CheckTimeouts(now);
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/src/gateway/object_feed.h"
@@ -131,30 +132,32 @@
   PeerRelay* m_relay;
 };
 
-// Dispatches events of peers to one handler for agents and one for entries.
+// Dispatches events of peers to one handler for agents and several for entries.
 class PeerEventDispatcher : public PeerEvents {
  public:
-  PeerEventDispatcher(PeerEvents* agents, PeerEvents* entries)
-      : m_agent_events(agents), m_entry_events(entries) {}
+  PeerEventDispatcher(PeerEvents* agents, std::vector<PeerEvents*> entries)
+      : m_agent_events({agents}), m_entry_events(std::move(entries)) {}
   void OnPeerUp(const Hello& peer) override {
     if (peer.role == Role::kEntry) m_entry_vms.insert(peer.vm);
-    FindHandler(peer.vm)->OnPeerUp(peer);
+    for (PeerEvents* handler : HandlersFor(peer.vm)) handler->OnPeerUp(peer);
   }
   void OnPeerDown(const VmName& vm) override {
-    FindHandler(vm)->OnPeerDown(vm);
+    for (PeerEvents* handler : HandlersFor(vm)) handler->OnPeerDown(vm);
     m_entry_vms.erase(vm);
   }
   void OnMessage(const VmName& from, const Message& message) override {
-    FindHandler(from)->OnMessage(from, message);
+    for (PeerEvents* handler : HandlersFor(from)) {
+      handler->OnMessage(from, message);
+    }
   }
 
  private:
-  PeerEvents* FindHandler(const VmName& vm) const {
+  const std::vector<PeerEvents*>& HandlersFor(const VmName& vm) const {
     return m_entry_vms.contains(vm) ? m_entry_events : m_agent_events;
   }
 
-  PeerEvents* m_agent_events;
-  PeerEvents* m_entry_events;
+  std::vector<PeerEvents*> m_agent_events;
+  std::vector<PeerEvents*> m_entry_events;
   std::set<VmName> m_entry_vms;
 };
 
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -19,6 +19,9 @@
 // idle for longer: the upstream may have closed them unnoticed, and then it is
 // unknown whether the call ran.
 constexpr Duration kSafeIdle = std::chrono::milliseconds(1500);
+// A request waits for a permit for this part of its latency target; the rest is
+// left for the call.
+constexpr int kPermitWaitDivisor = 2;
 // A caller that has closed its sending side may still read. An idempotent call
 // continues for this time, since delivering its response is worth more than the
 // work that cancelling saves. The time has to stay below 500 ms: callers that
@@ -41,9 +44,87 @@
   m_board->retry_budget.CountRequest(routed.service, routed.arrived_at);
   Request& request = m_requests.FindOrInsert(id);
   request.routed = std::move(routed);
-  const RegisteredUpstream* upstream = ChooseUpstream(request);
-  if (upstream == nullptr) return GiveUp(&request, "no upstream has room");
-  StartCall(&request, upstream);
+  Place(&request);
+}
+
+Duration PlainRequests::MaxPermitWait(const Request& request) const {
+  const TimePoint now = m_board->clock->Now();
+  const RoutedRequest& routed = request.routed;
+  const Duration budget = routed.route.latency_target / kPermitWaitDivisor;
+  return std::min(budget - (now - routed.arrived_at), routed.TimeLeft(now));
+}
+
+void PlainRequests::Place(Request* request) {
+  const RegisteredUpstream* upstream = ChooseUpstream(*request);
+  if (upstream == nullptr) return EndUnplaced(request);
+  if (!m_permits->IsNeeded(upstream->name)) {
+    return StartPlacedCall(request, upstream);
+  }
+  request->next_upstream = upstream->name;
+  request->permit =
+      m_permits->Request(upstream->name, MaxPermitWait(*request), this);
+  m_exchanges_by_permit.FindOrInsert(request->permit, request->routed.exchange);
+}
+
+void PlainRequests::StartPlacedCall(Request* request,
+                                    const RegisteredUpstream* upstream) {
+  const RoutedRequest& routed = request->routed;
+  if (std::exchange(request->needs_retry_budget, false) &&
+      !m_board->retry_budget.TrySpend(routed.service, m_board->clock->Now())) {
+    return EndUnplaced(request);
+  }
+  if (!request->retry_reason.empty()) {
+    m_board->log->Write("request_retried",
+                        {{"request", routed.request.id},
+                         {"upstream", routed.last_upstream.Value()},
+                         {"reason", request->retry_reason}});
+  }
+  StartCall(request, upstream);
+}
+
+void PlainRequests::EndUnplaced(Request* request) {
+  if (request->has_failed_response) return Deliver(request);
+  GiveUp(request, request->retry_reason.empty()
+                      ? std::string_view("no upstream has room")
+                      : std::string_view(request->retry_reason));
+}
+
+void PlainRequests::EndBarred(Request* request) {
+  if (request->has_failed_response || request->possible_runs > 0) {
+    return EndUnplaced(request);
+  }
+  FailRequest(m_board, request->routed, ErrorKind::kBarred, Duration(0),
+              "upstreams that ran it have crashed");
+  FinishRequest(request->routed.exchange);
+}
+
+PlainRequests::Request* PlainRequests::TakePermitRequest(PermitId id) {
+  const http::ExchangeId* exchange = m_exchanges_by_permit.Find(id);
+  Request* request = exchange == nullptr ? nullptr : m_requests.Find(*exchange);
+  m_exchanges_by_permit.Erase(id);
+  if (request != nullptr) request->permit = PermitId();
+  return request;
+}
+
+void PlainRequests::OnPermit(PermitId id) {
+  Request* request = TakePermitRequest(id);
+  if (request == nullptr) return;
+  if (IsBarred(m_board, request->routed)) return EndBarred(request);
+  const RegisteredUpstream* upstream =
+      m_board->upstreams.Find(request->next_upstream);
+  const bool usable = upstream != nullptr && !upstream->leaving &&
+                      upstream->service == request->routed.service &&
+                      !m_board->upstreams.IsSuperseded(*upstream);
+  if (usable) return StartPlacedCall(request, upstream);
+  request->exhausted_upstreams.insert(request->next_upstream);
+  Place(request);
+}
+
+void PlainRequests::OnNoPermit(PermitId id) {
+  Request* request = TakePermitRequest(id);
+  if (request == nullptr) return;
+  request->exhausted_upstreams.insert(request->next_upstream);
+  Place(request);
 }
 
 PlainRequests::Request* PlainRequests::FindRequest(http::CallId id) {
@@ -53,9 +134,15 @@
 
 const RegisteredUpstream* PlainRequests::ChooseUpstream(
     const Request& request) const {
-  return m_board->placement.Choose(
-      m_board->upstreams.FindByService(request.routed.service),
-      request.tried_upstreams, m_board->clock->Now(), m_board->random);
+  const ServiceName& service = request.routed.service;
+  std::set<UpstreamName> excluded = m_permits->Exhausted(service);
+  excluded.insert(request.tried_upstreams.begin(),
+                  request.tried_upstreams.end());
+  excluded.insert(request.exhausted_upstreams.begin(),
+                  request.exhausted_upstreams.end());
+  return m_board->placement.Choose(m_board->upstreams.FindByService(service),
+                                   excluded, m_board->clock->Now(),
+                                   m_board->random);
 }
 
 void PlainRequests::StartCall(Request* request,
@@ -68,6 +155,7 @@
   request->tried_upstreams.insert(upstream->name);
   request->call_started_at = now;
   request->response_body.clear();
+  request->has_failed_response = false;
   request->call = m_board->connections->Start(
       upstream->address,
       m_board->codec->EncodeCall(routed.request, *upstream, call), this,
@@ -156,13 +244,11 @@
   if (request->is_streaming) return EndStream(request);
   if (!error || request->disconnected_at.has_value()) return Deliver(request);
   ++request->possible_runs;
-  const TimePoint now = m_board->clock->Now();
-  const RegisteredUpstream* other = ChooseUpstream(*request);
-  if (other != nullptr && MayRetry(*request, CallOutcome::kMayHaveRun) &&
-      m_board->retry_budget.TrySpend(request->routed.service, now)) {
-    return StartCall(request, other);
-  }
-  Deliver(request);
+  if (!MayRetry(*request, CallOutcome::kMayHaveRun)) return Deliver(request);
+  request->has_failed_response = true;
+  request->needs_retry_budget = true;
+  request->retry_reason = "upstream failed";
+  Place(request);
 }
 
 void PlainRequests::OnCallFailed(http::CallId id, http::CallFailure failure) {
@@ -209,21 +295,13 @@
     return FinishRequest(routed.exchange);
   }
   if (outcome == CallOutcome::kMayHaveRun) ++request->possible_runs;
-  const TimePoint now = m_board->clock->Now();
-  const RegisteredUpstream* other = ChooseUpstream(*request);
+  const bool may_retry = MayRetry(*request, outcome) &&
+                         request->failed_connects <= kMaxFailedConnects;
+  if (!may_retry) return GiveUp(request, reason);
   // Retrying a call that was not sent adds no load, so it needs no budget.
-  const bool may_retry = other != nullptr && MayRetry(*request, outcome) &&
-                         request->failed_connects <= kMaxFailedConnects &&
-                         (outcome == CallOutcome::kNotSent ||
-                          m_board->retry_budget.TrySpend(routed.service, now));
-  if (may_retry) {
-    m_board->log->Write("request_retried",
-                        {{"request", routed.request.id},
-                         {"upstream", request->routed.last_upstream.Value()},
-                         {"reason", std::string(reason)}});
-    return StartCall(request, other);
-  }
-  GiveUp(request, reason);
+  request->needs_retry_budget = outcome != CallOutcome::kNotSent;
+  request->retry_reason = reason;
+  Place(request);
 }
 
 void PlainRequests::GiveUp(Request* request, std::string_view reason) {
@@ -233,7 +311,10 @@
   const ErrorKind kind = request->possible_runs > 0 ? ErrorKind::kUpstreamFailed
                          : registered               ? ErrorKind::kOverloaded
                                                     : ErrorKind::kNoUpstream;
-  FailRequest(m_board, routed, kind, Duration(0), reason);
+  const Duration retry_after = kind == ErrorKind::kOverloaded
+                                   ? m_permits->RetryAfter(routed.service)
+                                   : Duration(0);
+  FailRequest(m_board, routed, kind, retry_after, reason);
   FinishRequest(routed.exchange);
 }
 
@@ -292,6 +373,10 @@
 bool PlainRequests::OnCallerDisconnected(http::ExchangeId id) {
   Request* request = m_requests.Find(id);
   if (request == nullptr) return false;
+  if (request->has_failed_response && m_board->server->IsOpen(id)) {
+    Deliver(request);
+    return true;
+  }
   const RequestKind kind = request->routed.route.kind;
   const bool sent = m_board->connections->WasSent(request->call);
   // A non-idempotent call that was sent is never cancelled. An idempotent one
@@ -339,7 +424,7 @@
           now - *request.disconnected_at >= kHalfClosedGracePeriod;
       if (over && route.kind == RequestKind::kIdempotent) abandon.push_back(id);
     } else if (route.kind == RequestKind::kIdempotent &&
-               request.response_body.empty() &&
+               request.call.IsValid() && request.response_body.empty() &&
                request.possible_runs + 1 < route.max_attempts &&
                now - request.call_started_at >
                    kResponseTimeoutInTargets * route.latency_target) {
@@ -356,9 +441,13 @@
   for (const http::ExchangeId id : timed_out) {
     Request* request = m_requests.Find(id);
     if (request == nullptr) continue;
+    if (request->has_failed_response) {
+      Deliver(request);
+      continue;
+    }
     const bool sent = request->possible_runs > 0 ||
                       m_board->connections->WasSent(request->call);
-    RecordCallEnd(request, CallResult::kFailed);
+    if (request->call.IsValid()) RecordCallEnd(request, CallResult::kFailed);
     m_board->connections->Cancel(request->call);
     m_exchanges_by_call.Erase(request->call);
     if (request->is_streaming) {
@@ -373,6 +462,12 @@
   }
 }
 
-void PlainRequests::FinishRequest(http::ExchangeId id) { m_requests.Erase(id); }
+void PlainRequests::FinishRequest(http::ExchangeId id) {
+  if (const Request* request = m_requests.Find(id)) {
+    m_permits->Cancel(request->permit);
+    m_exchanges_by_permit.Erase(request->permit);
+  }
+  m_requests.Erase(id);
+}
 
 }  // namespace burdockhill
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -8,6 +8,7 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
+#include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 
 namespace burdockhill {
@@ -16,9 +17,10 @@
 // retries where that is safe, and returns complete responses only. Streams are
 // forwarded as they arrive; if the upstream's response breaks off, the
 // connection to the caller is aborted.
-class PlainRequests : private http::CallEvents {
+class PlainRequests : private http::CallEvents, private PermitEvents {
  public:
-  explicit PlainRequests(EntryBoard* board) : m_board(board) {}
+  PlainRequests(EntryBoard* board, UpstreamPermits* permits)
+      : m_board(board), m_permits(permits) {}
 
   // Takes over a request and sends it to an upstream.
   void Begin(RoutedRequest routed);
@@ -36,8 +38,17 @@
     http::CallId call;
     TimePoint call_started_at{};
     std::set<UpstreamName> tried_upstreams;
-    int possible_runs = 0;    // Calls that may have run the request.
-    int failed_connects = 0;  // Connections that could not be established.
+    PermitId permit;             // Valid while a permit is awaited.
+    UpstreamName next_upstream;  // To be called with that permit.
+    std::set<UpstreamName> exhausted_upstreams;  // Had no permit in time.
+    // The next call is a retry that counts against the retry budget.
+    bool needs_retry_budget = false;
+    // The response of the last call is complete. It reports a failure, and is
+    // forwarded if no other upstream can be called.
+    bool has_failed_response = false;
+    std::string retry_reason;  // Why the last call failed; empty at first.
+    int possible_runs = 0;     // Calls that may have run the request.
+    int failed_connects = 0;   // Connections that could not be established.
     std::optional<TimePoint> disconnected_at;
     bool is_streaming = false;  // The head was sent to the caller.
     // Of a stream whose body is an event stream.
@@ -58,10 +69,24 @@
   void OnResponseEnd(http::CallId id) override;
   void OnCallFailed(http::CallId id, http::CallFailure failure) override;
 
+  void OnPermit(PermitId id) override;
+  void OnNoPermit(PermitId id) override;
+
   Request* FindRequest(http::CallId id);
+  Request* TakePermitRequest(PermitId id);
   // The best upstream that has not been tried and is below its limit of calls,
   // or nullptr.
   const RegisteredUpstream* ChooseUpstream(const Request& request) const;
+  // Calls an upstream, once there is a permit if it needs one; ends the request
+  // if none can be called.
+  void Place(Request* request);
+  void StartPlacedCall(Request* request, const RegisteredUpstream* upstream);
+  // No upstream can be called.
+  void EndUnplaced(Request* request);
+  // Upstreams that ran the request have crashed while it waited for a permit.
+  void EndBarred(Request* request);
+  // Longest wait for a permit.
+  Duration MaxPermitWait(const Request& request) const;
   void StartCall(Request* request, const RegisteredUpstream* upstream);
   // Sends the request to another upstream if that is allowed, else ends it.
   void RetryOrGiveUp(Request* request, CallOutcome outcome,
@@ -89,7 +114,9 @@
   void FinishRequest(http::ExchangeId id);
 
   EntryBoard* m_board;
+  UpstreamPermits* m_permits;
   Table<http::ExchangeId, Request> m_requests;
+  Table<PermitId, http::ExchangeId> m_exchanges_by_permit;
   Table<http::CallId, http::ExchangeId> m_exchanges_by_call;
 };
 
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -71,18 +71,17 @@
   stream->phase = Phase::kReservingDecode;
   stream->decode_attempt = m_reservations->NewAttempt(routed.request.id);
   m_exchanges_by_attempt.FindOrInsert(stream->decode_attempt, routed.exchange);
-  const TimePoint now = m_board->clock->Now();
   Reservations::Requirement requirement;
   requirement.service = routed.service;
   requirement.prompt_tokens = routed.request.prompt_tokens;
   requirement.expected_output_tokens = ExpectedOutputTokens(routed.request);
   const StageBudget budget =
-      StageBudgetFor(StreamStage::kDecodeReservation, routed.route,
-                     now - stream->caller_waiting_since, routed.TimeLeft(now));
+      BudgetFor(*stream, StreamStage::kDecodeReservation);
   requirement.max_wait = budget.max_wait;
   requirement.target_left = budget.target_left;
   requirement.priority = EnginePriority(routed.route);
   requirement.excluded_engines = stream->excluded_decode_engines;
+  requirement.excluded_engines.merge(m_permits->Exhausted(routed.service));
   requirement.preferred_zone = m_board->zone;
   m_reservations->Reserve(stream->decode_attempt, requirement);
 }
@@ -94,8 +93,12 @@
   if (stream == nullptr) return m_reservations->Release(attempt);
   if (stream->phase == Phase::kReservingPrefill) {
     stream->prefill_engine = engine;
-    return engine == stream->decode_engine ? StartDecode(stream)
-                                           : StartPrefill(stream);
+    if (engine == stream->decode_engine) return StartDecode(stream);
+    if (AwaitPermit(stream, engine, Phase::kAwaitingPrefillPermit,
+                    StreamStage::kPrefillReservation)) {
+      return;
+    }
+    return StartPrefill(stream);
   }
   stream->decode_engine = engine;
   stream->reserved_at = m_board->clock->Now();
@@ -107,9 +110,65 @@
        {"estimate", ExpectedOutputTokens(stream->routed.request).Value()},
        {"waited_us",
         (m_board->clock->Now() - stream->routed.arrived_at).count()}});
+  // The permit for the decode call comes before the prefill, which would be in
+  // vain without it.
+  if (AwaitPermit(stream, engine, Phase::kAwaitingDecodePermit,
+                  StreamStage::kDecodeReservation)) {
+    return;
+  }
   ReservePrefillEngine(stream);
 }
 
+StageBudget StreamCalls::BudgetFor(const Stream& stream,
+                                   StreamStage stage) const {
+  const TimePoint now = m_board->clock->Now();
+  return StageBudgetFor(stage, stream.routed.route,
+                        now - stream.caller_waiting_since,
+                        stream.routed.TimeLeft(now));
+}
+
+bool StreamCalls::AwaitPermit(Stream* stream, const UpstreamName& engine,
+                              Phase phase, StreamStage stage) {
+  if (!m_permits->IsNeeded(engine)) return false;
+  stream->phase = phase;
+  stream->permit =
+      m_permits->Request(engine, BudgetFor(*stream, stage).max_wait, this);
+  m_exchanges_by_permit.FindOrInsert(stream->permit, stream->routed.exchange);
+  return true;
+}
+
+StreamCalls::Stream* StreamCalls::TakePermitStream(PermitId id) {
+  const http::ExchangeId* exchange = m_exchanges_by_permit.Find(id);
+  Stream* stream = exchange == nullptr ? nullptr : m_streams.Find(*exchange);
+  m_exchanges_by_permit.Erase(id);
+  if (stream != nullptr) stream->permit = PermitId();
+  return stream;
+}
+
+void StreamCalls::OnPermit(PermitId id) {
+  Stream* stream = TakePermitStream(id);
+  if (stream == nullptr) return;
+  if (stream->phase == Phase::kAwaitingPrefillPermit) {
+    return StartPrefill(stream);
+  }
+  stream->has_decode_permit = true;
+  if (stream->phase == Phase::kAwaitingCallPermit) return StartDecode(stream);
+  ReservePrefillEngine(stream);
+}
+
+void StreamCalls::OnNoPermit(PermitId id) {
+  Stream* stream = TakePermitStream(id);
+  if (stream == nullptr) return;
+  if (stream->phase == Phase::kAwaitingPrefillPermit) {
+    ReleasePrefill(stream);
+    stream->excluded_prefill_engines.insert(stream->prefill_engine);
+    return ReservePrefillEngine(stream);
+  }
+  stream->excluded_decode_engines.insert(stream->decode_engine);
+  ReleaseAttempt(stream);
+  ReserveDecodeEngine(stream);
+}
+
 void StreamCalls::OnNotReserved(const AttemptId& attempt, ErrorKind kind,
                                 Duration retry_after) {
   const http::ExchangeId* exchange = m_exchanges_by_attempt.Find(attempt);
@@ -164,12 +223,12 @@
   requirement.service = routed.service;
   requirement.prompt_tokens = routed.request.prompt_tokens;
   const StageBudget budget =
-      StageBudgetFor(StreamStage::kPrefillReservation, routed.route,
-                     now - stream->caller_waiting_since, routed.TimeLeft(now));
+      BudgetFor(*stream, StreamStage::kPrefillReservation);
   requirement.max_wait = budget.max_wait;
   requirement.target_left = budget.target_left;
   requirement.priority = EnginePriority(routed.route);
   requirement.excluded_engines = stream->excluded_prefill_engines;
+  requirement.excluded_engines.merge(m_permits->Exhausted(routed.service));
   requirement.local_only = !allowed;
   // The agent of a decode engine grants no prompt that has missed its target,
   // since prefill engines can compute it. Here the decode engine is the only
@@ -239,6 +298,11 @@
   if (upstream == nullptr || upstream->leaving) {
     return OnDecodeRejected(stream, "engine is leaving");
   }
+  if (!std::exchange(stream->has_decode_permit, false) &&
+      AwaitPermit(stream, stream->decode_engine, Phase::kAwaitingCallPermit,
+                  StreamStage::kPrefillReservation)) {
+    return;
+  }
   stream->phase = Phase::kDecoding;
   ++stream->decode_calls;
   UpstreamCall call;
@@ -533,6 +597,10 @@
                                 m_board->codec->EncodeKvRelease(kv),
                                 &m_ignored_responses, {});
   }
+  m_permits->Cancel(stream->permit);
+  m_exchanges_by_permit.Erase(stream->permit);
+  stream->permit = PermitId();
+  stream->has_decode_permit = false;
   ReleasePrefill(stream);
   m_reservations->Release(stream->decode_attempt);
   m_exchanges_by_attempt.Erase(stream->decode_attempt);
@@ -542,6 +610,9 @@
 void StreamCalls::FailOverloaded(Stream* stream, Duration retry_after,
                                  std::string_view reason) {
   ReleaseAttempt(stream);
+  if (retry_after == Duration(0)) {
+    retry_after = m_permits->RetryAfter(stream->routed.service);
+  }
   // Jitter, so that callers that were refused together do not retry together.
   if (retry_after > Duration(0)) {
     retry_after = std::max(retry_after, m_board->random->Jitter(retry_after));
@@ -616,8 +687,8 @@
 void StreamCalls::RefuseBarredStreams() {
   std::vector<http::ExchangeId> waiting;
   for (const auto& [id, stream] : m_streams) {
-    const bool waits = stream.phase == Phase::kReservingDecode ||
-                       stream.phase == Phase::kReservingPrefill;
+    const bool waits =
+        stream.phase != Phase::kPrefilling && stream.phase != Phase::kDecoding;
     if (waits) waiting.push_back(id);
   }
   for (const http::ExchangeId id : waiting) {
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -9,6 +9,7 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/reservations.h"
+#include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/routing/stream_budget.h"
 
@@ -19,10 +20,13 @@
 // events are forwarded to the caller as they arrive. If a resumable stream
 // breaks off, it continues on another engine after the last event that was
 // forwarded.
-class StreamCalls : public ReservationEvents, private http::CallEvents {
+class StreamCalls : public ReservationEvents,
+                    private http::CallEvents,
+                    private PermitEvents {
  public:
-  StreamCalls(EntryBoard* board, Reservations* reservations)
-      : m_board(board), m_reservations(reservations) {}
+  StreamCalls(EntryBoard* board, Reservations* reservations,
+              UpstreamPermits* permits)
+      : m_board(board), m_reservations(reservations), m_permits(permits) {}
 
   // Takes over a request and reserves memory for it.
   void Begin(RoutedRequest routed);
@@ -42,8 +46,11 @@
  private:
   enum class Phase {
     kReservingDecode,
+    kAwaitingDecodePermit,  // For the engine that was just reserved.
     kReservingPrefill,
+    kAwaitingPrefillPermit,
     kPrefilling,
+    kAwaitingCallPermit,  // For a decode call without a permit so far.
     kDecoding
   };
 
@@ -56,6 +63,9 @@
     UpstreamName prefill_engine;
     // Computed, and not yet passed to a decode engine.
     std::optional<KvLocation> kv;
+    PermitId permit;  // Valid while a permit is awaited.
+    // The permit for the next decode call, if the engine needs one, is there.
+    bool has_decode_permit = false;
     http::CallId call;
     TimePoint call_started_at{};
     std::set<UpstreamName> excluded_decode_engines;
@@ -87,7 +97,16 @@
   void OnResponseEnd(http::CallId id) override;
   void OnCallFailed(http::CallId id, http::CallFailure failure) override;
 
+  void OnPermit(PermitId id) override;
+  void OnNoPermit(PermitId id) override;
+
   Stream* FindStream(http::CallId id);
+  Stream* TakePermitStream(PermitId id);
+  // Waits in this phase for a permit to call the engine, for as long as the
+  // stage allows. Returns false if the engine needs none.
+  bool AwaitPermit(Stream* stream, const UpstreamName& engine, Phase phase,
+                   StreamStage stage);
+  StageBudget BudgetFor(const Stream& stream, StreamStage stage) const;
   void ReserveDecodeEngine(Stream* stream);
   // Reserves capacity on a prefill engine, or on the decode engine for
   // computing the prompt there.
@@ -140,7 +159,9 @@
 
   EntryBoard* m_board;
   Reservations* m_reservations;
+  UpstreamPermits* m_permits;
   Table<http::ExchangeId, Stream> m_streams;
+  Table<PermitId, http::ExchangeId> m_exchanges_by_permit;
   Table<http::CallId, http::ExchangeId> m_exchanges_by_call;
   Table<AttemptId, http::ExchangeId> m_exchanges_by_attempt;
   PrefillRateEstimator m_prefill_rate;
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -2,6 +2,7 @@
 #define BURDOCKHILL_SRC_PEER_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -265,13 +266,39 @@
   Duration age{0};  // Since the crash or the start of the sound answer.
 };
 
+// Entry to entry: an upstream has stated another rate limit, or none any more.
+struct RateLimitNotice {
+  UpstreamName upstream;
+  std::optional<double> requests_per_second;
+  Duration age{0};  // Since the upstream stated it.
+};
+
+// Entry to the coordinator of an upstream: asks for a permit to send one
+// request to it.
+struct PermitRequest {
+  uint64_t id = 0;  // Of the request for a permit, unique at its sender.
+  Duration max_wait{0};
+  RateLimitNotice limit;  // As known to the sender.
+};
+
+// Coordinator to entry: the answer to a PermitRequest.
+struct PermitAnswer {
+  uint64_t id = 0;
+  bool granted = false;
+  // Until the permit may be used, or, if it is not granted, until the next one
+  // may be.
+  Duration wait{0};
+  uint32_t entries = 0;  // That the coordinator knows.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ReserveDecode, StartPrefill, StartDecode,
                  CancelAttempt, RenewHolds, AttachAttempt, CallService,
                  ReserveGranted, AttemptRefused, PrefillDone, StreamChunk,
                  AttemptFailed, CallAnswered, AttemptReleased, LoadReport,
                  ConfigurationOffer, ConfigurationState, ReservePrefill,
-                 Registrations, CrashNotice, PoolRates, PromptPartNotice>;
+                 Registrations, CrashNotice, PoolRates, PromptPartNotice,
+                 RateLimitNotice, PermitRequest, PermitAnswer>;
 
 }  // namespace burdockhill
 
--- a/burdockhill/src/routing/stated_rate_limits.cc
+++ b/burdockhill/src/routing/stated_rate_limits.cc
@@ -16,6 +16,7 @@
   if (found == m_statements.end()) {
     if (!statement.requests_per_second.has_value()) return false;
     m_statements.emplace(upstream, statement);
+    m_changed.insert(upstream);
     return true;
   }
   RateLimitStatement& latest = found->second;
@@ -23,6 +24,7 @@
   const bool changed =
       latest.requests_per_second != statement.requests_per_second;
   latest = statement;
+  if (changed) m_changed.insert(upstream);
   return changed;
 }
 
--- a/burdockhill/src/routing/stated_rate_limits.h
+++ b/burdockhill/src/routing/stated_rate_limits.h
@@ -3,6 +3,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
@@ -41,12 +43,15 @@
   const std::map<UpstreamName, RateLimitStatement>& All() const {
     return m_statements;
   }
+  // Upstreams whose limit has changed since the last call.
+  std::set<UpstreamName> DrainChanged() { return std::exchange(m_changed, {}); }
   // Drops what upstreams stated that are not registered any more.
   void DropUnregistered(const UpstreamDirectory& directory, TimePoint now);
 
  private:
   // Of upstreams that have ever stated a limit.
   std::map<UpstreamName, RateLimitStatement> m_statements;
+  std::set<UpstreamName> m_changed;
 };
 
 }  // namespace burdockhill
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -30,6 +30,13 @@
   return CreateText(b, name.Value());
 }
 
+Offset<RateLimitNotice> CreateRateLimit(
+    Builder& b, const burdockhill::RateLimitNotice& notice) {
+  return CreateRateLimitNotice(
+      b, CreateText(b, notice.upstream), notice.requests_per_second.has_value(),
+      notice.requests_per_second.value_or(0), notice.age.count());
+}
+
 template <typename E>
 uint8_t EnumNumber(E value) {
   return static_cast<uint8_t>(value);
@@ -91,6 +98,18 @@
             CreatePromptPartNotice(b, CreateText(b, m.part),
                                    CreateText(b, m.upstream), m.age.count()));
   }
+  void operator()(const burdockhill::RateLimitNotice& m) {
+    SetBody(Body::RateLimitNotice, CreateRateLimit(b, m));
+  }
+  void operator()(const burdockhill::PermitRequest& m) {
+    SetBody(Body::PermitRequest,
+            CreatePermitRequest(b, m.id, m.max_wait.count(),
+                                CreateRateLimit(b, m.limit)));
+  }
+  void operator()(const burdockhill::PermitAnswer& m) {
+    SetBody(Body::PermitAnswer,
+            CreatePermitAnswer(b, m.id, m.granted, m.wait.count(), m.entries));
+  }
   void operator()(const burdockhill::CrashNotice& m) {
     SetBody(Body::CrashNotice,
             CreateCrashNotice(b, m.fingerprint, CreateText(b, m.upstream)));
@@ -294,6 +313,36 @@
   return out;
 }
 
+// Nullopt if the limit is no possible rate.
+std::optional<burdockhill::RateLimitNotice> ReadRateLimit(
+    const RateLimitNotice& m) {
+  burdockhill::RateLimitNotice out;
+  out.upstream = UpstreamName(ReadText(m.upstream()));
+  out.age = Duration(m.age_us());
+  if (!m.limited()) return out;
+  const double limit = m.requests_per_second();
+  if (!std::isfinite(limit) || limit < 0) return std::nullopt;
+  out.requests_per_second = limit;
+  return out;
+}
+
+std::optional<Message> Decode(const RateLimitNotice& m) {
+  const auto limit = ReadRateLimit(m);
+  return limit.has_value() ? std::optional<Message>(*limit) : std::nullopt;
+}
+
+std::optional<Message> Decode(const PermitRequest& m) {
+  if (m.limit() == nullptr) return std::nullopt;
+  const auto limit = ReadRateLimit(*m.limit());
+  if (!limit.has_value()) return std::nullopt;
+  return burdockhill::PermitRequest{m.id(), Duration(m.max_wait_us()), *limit};
+}
+
+std::optional<Message> Decode(const PermitAnswer& m) {
+  return burdockhill::PermitAnswer{m.id(), m.granted(), Duration(m.wait_us()),
+                                   m.entries()};
+}
+
 std::optional<Message> Decode(const CrashNotice& m) {
   return burdockhill::CrashNotice{m.fingerprint(),
                                   UpstreamName(ReadText(m.upstream()))};
@@ -475,6 +524,12 @@
       return Decode(*e.body_as_CrashNotice());
     case Body::PromptPartNotice:
       return Decode(*e.body_as_PromptPartNotice());
+    case Body::RateLimitNotice:
+      return Decode(*e.body_as_RateLimitNotice());
+    case Body::PermitRequest:
+      return Decode(*e.body_as_PermitRequest());
+    case Body::PermitAnswer:
+      return Decode(*e.body_as_PermitAnswer());
     case Body::ReservePrefill:
       return Decode(*e.body_as_ReservePrefill());
     case Body::RenewHolds:
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -10,6 +10,7 @@
 
 constexpr Duration kNetworkDelay = std::chrono::milliseconds(1);
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
 constexpr uint16_t kPeerPort = 7660;
 constexpr char kService[] = "llm";
 constexpr char kPlainService[] = "plain";
@@ -71,10 +72,16 @@
       : link(deployment, MakeHello(index)),
         random(deployment->m_options.seed + static_cast<uint64_t>(index)),
         pool(&deployment->m_socket_network, &deployment->m_clock),
+        board(MakeBoard(&deployment->m_clock)),
         reservations({Incarnation(static_cast<uint64_t>(index) + 1), kPeerPort},
                      &board, &link),
+        permits({EntryVm(index), SeedHosts(deployment->m_options), kPeerPort},
+                &board, &link),
+        relay({EntryVm(index), SeedHosts(deployment->m_options), kPeerPort, ""},
+              &board.routes, &board.upstreams, &board.poison_detector,
+              &board.prompt_parts, &link, &deployment->m_clock,
+              &deployment->m_log, &no_events, &no_events),
         server(&deployment->m_socket_network, &deployment->m_clock, &gateway) {
-    board.clock = &deployment->m_clock;
     board.random = &random;
     board.connections = &pool;
     board.codec = &deployment->m_requests;
@@ -85,6 +92,18 @@
     server.Listen(*ParseAddress(EntryAddress(index)));
   }
 
+  static EntryBoard MakeBoard(const Clock* clock) {
+    EntryBoard board{ZoneName("z")};
+    board.clock = clock;
+    return board;
+  }
+
+  static std::vector<std::string> SeedHosts(const Options& options) {
+    std::vector<std::string> hosts;
+    for (int i = 0; i < options.seeds; ++i) hosts.push_back(EntryVm(i).Value());
+    return hosts;
+  }
+
   static Hello MakeHello(int index) {
     Hello hello;
     hello.vm = EntryVm(index);
@@ -92,21 +111,35 @@
   }
 
   void Tick(TimePoint now) {
+    relay.Tick();
+    board.connected_entries = relay.ConnectedEntries();
     reservations.Tick();
+    permits.Tick();
     gateway.Tick();
     pool.CheckTimeouts(now);
     server.CheckTimeouts(now);
   }
 
-  PeerEvents* Events() { return &reservations; }
+  PeerEvents* Events() { return &dispatcher; }
+
+  // The upstreams and routes do not come from a store.
+  class NoFeedEvents : public FeedEvents {
+    void OnList(const std::vector<FeedObject>&, uint64_t) override {}
+    void OnChange(const FeedObject&) override {}
+    void OnStoreCallFailed() override {}
+  };
 
   DeploymentLink link;
+  NoFeedEvents no_events;
   Random random;
   http::ConnectionPool pool;
-  EntryBoard board{ZoneName("z")};
+  EntryBoard board;
   Reservations reservations;
-  PlainRequests plain{&board};
-  StreamCalls streams{&board, &reservations};
+  UpstreamPermits permits;
+  PeerRelay relay;
+  PeerEventDispatcher dispatcher{&reservations, {&relay, &permits}};
+  PlainRequests plain{&board, &permits};
+  StreamCalls streams{&board, &reservations, &permits};
   Gateway gateway{&board, &plain, &streams};
   http::Server server;
 };
@@ -190,21 +223,11 @@
 // ---- Messages ----
 
 void DeploymentLink::Connect(const VmName& vm, const std::string& /*address*/) {
+  if (m_self.role == Role::kEntry)
+    m_deployment->m_dialled_by[vm].insert(m_self.vm);
   GatewayDeployment* owner = m_deployment;
-  owner->m_queue.Schedule(kNetworkDelay, [owner, vm, self = m_self] {
-    const auto peer = owner->m_peers.find(vm);
-    const auto own = owner->m_peers.find(self.vm);
-    if (peer == owner->m_peers.end() || own == owner->m_peers.end() ||
-        owner->IsCut(vm, self.vm) || owner->m_frozen.contains(vm)) {
-      return;
-    }
-    Hello other;
-    other.vm = vm;
-    other.role =
-        vm.Value().starts_with("10.0.1.") ? Role::kAgent : Role::kEntry;
-    peer->second->OnPeerUp(self);
-    own->second->OnPeerUp(other);
-  });
+  owner->m_queue.Schedule(
+      kNetworkDelay, [owner, vm, self = m_self] { owner->Dial(self, vm); });
 }
 
 void DeploymentLink::Send(const VmName& vm, Message message) {
@@ -294,9 +317,15 @@
   const VmName vm = EntryVm(index);
   m_peers.erase(vm);
   m_socket_network.KillListeningProcess(EntryAddress(index));
-  m_entries.at(static_cast<size_t>(index)).reset();
+  m_ended_entries.push_back(
+      std::move(m_entries.at(static_cast<size_t>(index))));
   for (const auto& [other, events] : m_peers) events->OnPeerDown(vm);
   StartEntry(index);
+  for (const VmName& other : m_dialled_by[vm]) {
+    Hello hello;
+    hello.vm = other;
+    m_queue.Schedule(kReconnectDelay, [this, hello, vm] { Dial(hello, vm); });
+  }
 }
 
 void GatewayDeployment::ThawEntry(int index) {
@@ -307,6 +336,20 @@
   }
 }
 
+void GatewayDeployment::Dial(const Hello& from, const VmName& to) {
+  const auto peer = m_peers.find(to);
+  const auto own = m_peers.find(from.vm);
+  if (peer == m_peers.end() || own == m_peers.end() || IsCut(to, from.vm) ||
+      m_frozen.contains(to) || m_frozen.contains(from.vm)) {
+    return;
+  }
+  Hello other;
+  other.vm = to;
+  other.role = to.Value().starts_with("10.0.1.") ? Role::kAgent : Role::kEntry;
+  peer->second->OnPeerUp(from);
+  own->second->OnPeerUp(other);
+}
+
 void GatewayDeployment::Deliver(const VmName& from, const VmName& to,
                                 const Message& message) {
   if (m_frozen.contains(to)) {
@@ -385,6 +428,7 @@
 void GatewayDeployment::Call(const std::string& id, int entry,
                              const std::string& request) {
   CallerResult& result = m_results[id];
+  result.entry = entry;
   result.sent_at = m_clock.Now();
   auto caller = std::make_unique<Caller>(&result, &m_clock);
   caller->call =
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -40,6 +40,7 @@
 
 // What one caller received, and when.
 struct CallerResult {
+  int entry = 0;  // To which it was sent.
   TimePoint sent_at{};
   Duration retry_after{0};  // As the response says; zero if it does not.
   TimePoint first_event_at{};
@@ -149,6 +150,7 @@
   bool IsCut(const VmName& one, const VmName& other) const {
     return m_cut.contains(one) || m_cut.contains(other);
   }
+  void Dial(const Hello& from, const VmName& to);
   // Passes a message to a peer that runs.
   void Deliver(const VmName& from, const VmName& to, const Message& message);
   // Registers each runner whose role has changed with its new role.
@@ -166,6 +168,9 @@
   KvHandles m_handles;
   RunnerCounters m_counts;
   std::map<VmName, PeerEvents*> m_peers;
+  // Connections between entries that one side dials again when they are lost,
+  // by the dialled VM.
+  std::map<VmName, std::set<VmName>> m_dialled_by;
   std::set<VmName> m_cut;
   std::set<VmName> m_frozen;
   struct HeldMessage {
@@ -180,6 +185,8 @@
   std::vector<RegisteredUpstream> m_registrations;  // Of each runner.
   std::vector<std::string> m_decode_addresses;
   std::vector<std::unique_ptr<Entry>> m_entries;
+  // Kept, since connections that they opened still deliver events to them.
+  std::vector<std::unique_ptr<Entry>> m_ended_entries;
   std::vector<std::unique_ptr<Agent>> m_agents;
   std::map<std::string, std::unique_ptr<Caller>> m_callers;
   std::map<std::string, CallerResult> m_results;
--- a/emulation/model_runner_fake.cc
+++ b/emulation/model_runner_fake.cc
@@ -59,7 +59,7 @@
     return Respond(id, http::kOk, "", "");
   }
   if (head.target == "/-/order") return HandleRoleOrder(id, body);
-  m_rate.Count(m_clock->Now());
+  m_rate.Count(m_clock->Now(), request_id);
   if (m_is_changing_role) {
     return Respond(id, http::kUnavailable, request_id, "", /*not_run=*/true);
   }
--- a/emulation/plain_upstream_fake.cc
+++ b/emulation/plain_upstream_fake.cc
@@ -14,18 +14,16 @@
 
 void PlainUpstreamFake::OnRequest(http::ExchangeId id, http::Head head,
                                   std::string /*body*/) {
-  m_rate.Count(m_clock->Now());
-  const std::string* request_id = head.headers.Find("X-Request-Id");
-  m_queue->Schedule(
-      m_call_time,
-      [this, id,
-       request_id = request_id == nullptr ? std::string() : *request_id] {
-        http::Head answer;
-        answer.status = m_status;
-        answer.headers.Add("X-Request-Id", request_id);
-        m_rate.StateLimit(&answer);
-        m_server.Respond(id, answer, "done");
-      });
+  const std::string* field = head.headers.Find("X-Request-Id");
+  const std::string request = field == nullptr ? "" : *field;
+  m_rate.Count(m_clock->Now(), request);
+  m_queue->Schedule(m_call_time, [this, id, request] {
+    http::Head answer;
+    answer.status = m_status;
+    answer.headers.Add("X-Request-Id", request);
+    m_rate.StateLimit(&answer);
+    m_server.Respond(id, answer, "done");
+  });
 }
 
 }  // namespace burdockhill::emulation
--- a/emulation/request_rate.h
+++ b/emulation/request_rate.h
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/src/base/clock.h"
@@ -16,7 +18,14 @@
 // states.
 class RequestRate {
  public:
-  void Count(TimePoint now) { m_arrivals.push_back(now); }
+  struct Arrival {
+    TimePoint at{};
+    std::string request;  // As the caller set its id.
+  };
+
+  void Count(TimePoint now, std::string request) {
+    m_arrivals.push_back({now, std::move(request)});
+  }
   // States another limit from now on, or none.
   void SetLimit(RateLimitValue limit) { m_limit = limit; }
   RateLimitValue Limit() const { return m_limit; }
@@ -25,22 +34,32 @@
     response->headers.Add("Server-Limit", std::to_string(*m_limit));
   }
 
+  // In the order of time.
+  const std::vector<Arrival>& Arrivals() const { return m_arrivals; }
   int64_t CountBetween(TimePoint from, TimePoint to) const {
-    return std::lower_bound(m_arrivals.begin(), m_arrivals.end(), to) -
-           std::lower_bound(m_arrivals.begin(), m_arrivals.end(), from);
+    return std::count_if(m_arrivals.begin(), m_arrivals.end(),
+                         [&](const Arrival& arrival) {
+                           return arrival.at >= from && arrival.at < to;
+                         });
   }
-  // The most requests in any window of this length that lies between the times.
-  int64_t MostInWindow(Duration window, TimePoint from, TimePoint to) const {
+  // The most requests in any window of this length that lies between the times,
+  // of those that `counts` accepts.
+  template <typename Filter>
+  int64_t MostInWindow(Duration window, TimePoint from, TimePoint to,
+                       const Filter& counts) const {
     int64_t most = 0;
-    for (const TimePoint at : m_arrivals) {
-      if (at < from || at + window > to) continue;
-      most = std::max(most, CountBetween(at, at + window));
+    std::deque<TimePoint> latest;
+    for (const Arrival& arrival : m_arrivals) {
+      if (arrival.at < from || arrival.at >= to || !counts(arrival)) continue;
+      latest.push_back(arrival.at);
+      while (latest.front() + window <= arrival.at) latest.pop_front();
+      most = std::max(most, static_cast<int64_t>(latest.size()));
     }
     return most;
   }
 
  private:
-  std::vector<TimePoint> m_arrivals;
+  std::vector<Arrival> m_arrivals;
   RateLimitValue m_limit;
 };
 
--- a/tests/gateway_test_entry.h
+++ b/tests/gateway_test_entry.h
@@ -46,7 +46,6 @@
 class EntryFixture : public Utest {
  public:
   void setup() override {
-    m_board.clock = &m_clock;
     m_board.random = &m_random;
     m_board.connections = &m_pool;
     m_board.codec = &m_codec;
@@ -107,6 +106,7 @@
   void Tick() {
     m_pool.CheckTimeouts(m_clock.Now());
     m_reservations.Tick();
+    m_permits.Tick();
     m_gateway.Tick();
     m_server.CheckTimeouts(m_clock.Now());
   }
@@ -215,6 +215,12 @@
     return decode;
   }
 
+  EntryBoard MakeBoard() const {
+    EntryBoard board{ZoneName("z")};
+    board.clock = &m_clock;
+    return board;
+  }
+
   bool m_agents_are_alive = true;
   ManualClock m_clock;
   Random m_random{1};
@@ -223,11 +229,13 @@
   PeerLinkFake m_peer_link;
   platform::PlatformRequestCodec m_codec;
   http::ConnectionPool m_pool{&m_sockets, &m_clock};
-  EntryBoard m_board{ZoneName("z")};
+  EntryBoard m_board = MakeBoard();
   Reservations m_reservations{
       {Incarnation(9), kAgentPort}, &m_board, &m_peer_link};
-  PlainRequests m_plain{&m_board};
-  StreamCalls m_streams{&m_board, &m_reservations};
+  UpstreamPermits m_permits{
+      {VmName("10.0.0.1"), {"10.0.0.1"}, kAgentPort}, &m_board, &m_peer_link};
+  PlainRequests m_plain{&m_board, &m_permits};
+  StreamCalls m_streams{&m_board, &m_reservations, &m_permits};
   Gateway m_gateway{&m_board, &m_plain, &m_streams};
   http::Server m_server{&m_sockets, &m_clock, &m_gateway};
 };
