Feeds list again when the store was restored from a copy

What callers would see: a configuration that was confirmed after the restore is not in force in time, or an upstream that left then still gets requests.

Cause: a feed took the revision that it had seen last for a point in the history of the store that answers. A restored store gives out revisions again; once it has passed that revision, the watch goes on and the changes before it are never delivered. In the same way the pages of one list could come from both histories. Class: a version number trusted beyond the history that it belongs to.

Evidence: six tests of group ObjectFeed fail on the former code, among them ListsAgainWhenARestoredStoreHasPassedTheWatchedRevision and ListsAgainIfThePagesOfAListSpanTheRestoreOfTheStore.

Fix: the feed compares the era that each response names. A later era discards the revision and the pages listed so far, and lists again, for a while past the cache, which may be from before; an earlier era is ignored. The first watch after a failure is short, so that the era is known within the time of a call and not of a long poll.

--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -150,6 +150,10 @@
   // Long poll for changes after `revision`, held for up to `wait`.
   virtual std::string EncodeWatch(uint64_t revision, Duration wait) const = 0;
   virtual std::optional<FeedPage> DecodePage(const std::string& body) const = 0;
+  // The era of the store, which rises each time it is restored from a copy;
+  // zero if the response does not name one. Revisions of different eras cannot
+  // be compared.
+  virtual uint64_t DecodeEra(const http::Head& head) const = 0;
 };
 
 // Decodes the content of store objects. Nullopt if it is invalid.
--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -18,6 +18,12 @@
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1200);
 constexpr int kMaxBackoffDoublings = 3;
+// Wait of the first watch after a failure. It shows whether the store was
+// restored meanwhile, which a watch without changes would show only at its end.
+constexpr Duration kCheckWait = std::chrono::milliseconds(1);
+// The cache of the store may be some seconds old, and thus from before the
+// store was restored.
+constexpr Duration kMaxCacheAge = std::chrono::seconds(10);
 // An object is about 250 bytes, so a process that only lists reads at most
 // 25 kB/s, independent of the number of objects.
 constexpr Duration kListIntervalPerObject = std::chrono::milliseconds(10);
@@ -52,18 +58,23 @@
   const bool list = m_revision == 0;
   m_state = list ? State::kListing : State::kWatching;
   m_status = 0;
+  m_response_era = 0;
   m_body.clear();
-  std::string request =
-      list ? m_codec->EncodeList(m_list_cursor, IsListOnly() && m_has_listed)
-           : m_codec->EncodeWatch(m_revision, m_options.watch_timeout);
+  const Duration wait = list                         ? Duration(0)
+                        : m_consecutive_failures > 0 ? kCheckWait
+                                                     : m_options.watch_timeout;
+  const bool use_cache =
+      IsListOnly() && m_has_listed && m_clock->Now() >= m_cache_usable_at;
+  std::string request = list ? m_codec->EncodeList(m_list_cursor, use_cache)
+                             : m_codec->EncodeWatch(m_revision, wait);
   m_call = m_pool->Start(m_options.address, std::move(request), this, {});
-  const Duration wait = list ? Duration(0) : m_options.watch_timeout;
   m_call_deadline = m_clock->Now() + wait + kResponseTimeout;
   if (!m_call.IsValid()) BackOff("no socket", 0);
 }
 
 bool ObjectFeed::OnResponseHead(http::CallId /*id*/, const http::Head& head) {
   m_status = head.status;
+  m_response_era = m_codec->DecodeEra(head);
   return true;
 }
 
@@ -76,15 +87,42 @@
   BackOff("connection failed", 0);
 }
 
+void ObjectFeed::ForgetRevision() {
+  m_revision = 0;
+  m_list_cursor.clear();
+  m_listed_objects.clear();
+}
+
+bool ObjectFeed::CheckEra() {
+  if (m_response_era == 0 || m_response_era == m_era) return true;
+  if (m_response_era < m_era) {
+    BackOff("answer of an earlier era", m_status);
+    return false;
+  }
+  const uint64_t former = std::exchange(m_era, m_response_era);
+  const bool knows_nothing =
+      m_revision == 0 && m_list_cursor.empty() && !m_has_listed;
+  if (knows_nothing) return true;
+  m_log->Write("store_restored",
+               {{"kind", m_options.name},
+                {"era", static_cast<int64_t>(m_era)},
+                {"former_era", static_cast<int64_t>(former)},
+                {"revision", static_cast<int64_t>(m_revision)}});
+  m_cache_usable_at = m_clock->Now() + kMaxCacheAge;
+  ForgetRevision();
+  if (m_status != http::kOk) return true;
+  StartCall();
+  return false;
+}
+
 void ObjectFeed::OnResponseEnd(http::CallId /*id*/) {
   m_call = http::CallId();
+  if (!CheckEra()) return;
   if (m_status == kHistoryGoneStatus) {
     m_log->Write("store_history_gone",
                  {{"kind", m_options.name},
                   {"revision", static_cast<int64_t>(m_revision)}});
-    m_revision = 0;
-    m_list_cursor.clear();
-    m_listed_objects.clear();
+    ForgetRevision();
     return StartCall();
   }
   if (m_status != http::kOk) return BackOff("refused", m_status);
--- a/burdockhill/src/gateway/object_feed.h
+++ b/burdockhill/src/gateway/object_feed.h
@@ -29,6 +29,11 @@
 // longer has the history since the last revision. Users that tolerate stale
 // data set `list_interval` and poll the store's cached list instead.
 //
+// A store that was restored from a copy has lost what was written since, and
+// gives out the same revisions again. The feed recognizes this by the era that
+// each response names, and lists again. Responses of an earlier era are
+// ignored.
+//
 // Failed calls are repeated with jittered exponential backoff.
 class ObjectFeed : private http::CallEvents {
  public:
@@ -65,6 +70,11 @@
 
   void StartCall();
   void ScheduleCall(Duration delay);
+  // Forgets what was listed and the revision to watch from.
+  void ForgetRevision();
+  // Takes note of the era that a response names. Returns false if the response
+  // cannot be used, and another call was started or scheduled.
+  bool CheckEra();
   bool IsListOnly() const { return m_options.list_interval > Duration(0); }
   void HandleListPage(FeedPage page);
   void HandleWatchPage(const FeedPage& page);
@@ -87,6 +97,9 @@
   int m_consecutive_failures = 0;
   uint64_t m_revision = 0;  // Last one seen; zero if a list is needed.
   bool m_has_listed = false;
+  uint64_t m_era = 0;           // Of the store; zero if unknown.
+  uint64_t m_response_era = 0;  // Named by the current response.
+  TimePoint m_cache_usable_at{};
   std::string m_list_cursor;  // Name of the last object listed so far.
   std::vector<FeedObject> m_listed_objects;
   int m_status = 0;
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -27,12 +27,16 @@
 
 TEST_GROUP(ObjectFeed) {
   // Reads and answers the request on the only connection to the store.
-  void Respond(int status, const std::string& body) {
+  void Respond(int status, const std::string& body,
+               const std::string& headers = "") {
     const auto ids = m_sockets.OpenTo("10.0.0.7:80");
     LONGS_EQUAL(1, ids.size());
     m_sockets.CompleteConnect(ids.front());
     m_request = m_sockets.DrainOutput(ids.front());
-    m_sockets.Inject(ids.front(), HttpResponse(status, "", body));
+    m_sockets.Inject(ids.front(), HttpResponse(status, headers, body));
+  }
+  void RespondInEra(int era, int status, const std::string& body) {
+    Respond(status, body, "Store-Era: " + std::to_string(era) + "\r\n");
   }
   std::string ReadRequest() {
     const auto ids = m_sockets.OpenTo("10.0.0.7:80");
@@ -175,6 +179,107 @@
 
 namespace {
 
+// A list of one upstream, as of this revision.
+std::string ListOf(const std::string& name, int revision,
+                   bool has_more = false) {
+  return R"({"items":[{"metadata":{"name":")" + name + R"(","revision":)" +
+         std::to_string(revision) + R"(},"spec":
+        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+         "state":"ready"}}],"hasMore":)" +
+         (has_more ? "true" : "false") + R"(,"asOf":)" +
+         std::to_string(revision) + "}";
+}
+
+constexpr char kNoEvents[] = R"({"events":[],"asOf":9})";
+
+}  // namespace
+
+TEST(ObjectFeed, ListsAgainWhenARestoredStoreHasPassedTheWatchedRevision) {
+  m_feed.Tick();
+  RespondInEra(1, 200, ListOf("u", 5));
+  STRCMP_CONTAINS("watch=5", ReadRequest().c_str());
+  m_sockets.Inject(m_sockets.OpenTo("10.0.0.7:80").front(),
+                   HttpResponse(200, "Store-Era: 2\r\n", kNoEvents));
+  LONGS_EQUAL(1, m_log.Count("store_restored"));
+  RespondInEra(2, 200, ListOf("v", 9));
+  CHECK(m_request.find("watch") == std::string::npos);
+  CHECK(m_directory.Find(UpstreamName("v")) != nullptr);
+  STRCMP_CONTAINS("watch=9", ReadRequest().c_str());
+}
+
+TEST(ObjectFeed, ListsAgainIfThePagesOfAListSpanTheRestoreOfTheStore) {
+  m_feed.Tick();
+  RespondInEra(1, 200, ListOf("a", 5, /*has_more=*/true));
+  RespondInEra(2, 200, ListOf("z", 4));
+  STRCMP_CONTAINS("after=a", m_request.c_str());
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("a")));
+  RespondInEra(2, 200, ListOf("b", 4, /*has_more=*/true));
+  CHECK(m_request.find("after") == std::string::npos);
+  RespondInEra(2, 200, ListOf("c", 4));
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("a")));
+  CHECK(m_directory.Find(UpstreamName("b")) != nullptr);
+  CHECK(m_directory.Find(UpstreamName("c")) != nullptr);
+  STRCMP_CONTAINS("watch=4", ReadRequest().c_str());
+}
+
+TEST(ObjectFeed, ARefusedCallShowsThatTheStoreWasRestored) {
+  m_feed.Tick();
+  RespondInEra(1, 200, ListOf("u", 5));
+  RespondInEra(2, 503, "");
+  m_clock.Advance(seconds(1));
+  m_feed.Tick();
+  CHECK(ReadRequest().find("watch") == std::string::npos);
+}
+
+TEST(ObjectFeed, AnswersFromBeforeTheRestoreAreIgnored) {
+  m_feed.Tick();
+  RespondInEra(2, 200, ListOf("u", 5));
+  RespondInEra(1, 200, R"({"events":[{"deleted":true,"object":
+                 {"metadata":{"name":"u","revision":6}}}],"asOf":6})");
+  CHECK(m_directory.Find(UpstreamName("u")) != nullptr);
+  m_clock.Advance(seconds(1));
+  m_feed.Tick();
+  STRCMP_CONTAINS("watch=5", ReadRequest().c_str());
+}
+
+TEST(ObjectFeed, TheFirstWatchAfterAFailureIsShort) {
+  m_feed.Tick();
+  RespondInEra(1, 200, ListOf("u", 5));
+  RespondInEra(1, 503, "");
+  m_clock.Advance(seconds(1));
+  m_feed.Tick();
+  RespondInEra(1, 200, kNoEvents);
+  STRCMP_CONTAINS("waitMs=1", m_request.c_str());
+  CHECK(m_request.find("waitMs=1\r") != std::string::npos ||
+        m_request.find("waitMs=1 ") != std::string::npos);
+  STRCMP_CONTAINS("waitMs=3000", ReadRequest().c_str());
+}
+
+TEST(ObjectFeed, ListOnlyFeedsDoNotUseTheCacheAfterTheRestore) {
+  ObjectFeed list_only_feed(
+      {"upstreams", "10.0.0.7:80", seconds(3), milliseconds(200), seconds(1)},
+      &m_feed_codec, &m_pool, &m_clock, &m_random, &m_log, &m_updater);
+  std::vector<bool> cached;
+  for (int i = 0; i < 1500; ++i) {
+    list_only_feed.Tick();
+    const std::string request = ReadRequest();
+    if (!request.empty()) {
+      cached.push_back(request.find("allowStale") != std::string::npos);
+      const int era = i < 500 ? 1 : 2;
+      m_sockets.Inject(
+          m_sockets.OpenTo("10.0.0.7:80").front(),
+          HttpResponse(200, "Store-Era: " + std::to_string(era) + "\r\n",
+                       ListOf("u", 5)));
+    }
+    m_clock.Advance(milliseconds(20));
+  }
+  // Again after the cache has caught up.
+  CHECK(cached.back());
+  CHECK(std::count(cached.begin(), cached.end(), false) >= 5);
+}
+
+namespace {
+
 constexpr char kNewerConfiguration[] =
     R"({"version":7,"routes":[{"name":"a","host":"h","pathPrefix":"/a/",
         "kind":"safe","timeoutMs":1000,"service":"s"}],"services":[]})";
