Registrations are ordered across a restore of the store

What callers would see: requests to upstreams that leave or have left, and refusals although upstreams are there.

Cause: registrations were ordered by the store's revision alone. A restored store gives out lower revisions again, so that each change was taken for older than what was known, until the revision before the restore had been passed; a restored registration of an ended process at an address hid the process that runs there now; and upstreams that registered after the copy was made were dropped at once, although they register again. Class: as in the feeds, a revision compared with one of another history.

Evidence: RegistrationsThatTheRestoredRegistryLacksGetAGracePeriod and ARestoredRegistrationDoesNotSupersedeALaterProcess failed before the change of the directory. That a lower revision is ignored is what the former code was tested for.

Fix: a StoreRevision consists of the era and the number, and is compared in that order; feeds set the era, and entries relay it. A list of a new era counts as an outage, after which upstreams have time to register again. Between eras, the times at which the processes started tell which one is the latest at an address.

--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "burdockhill/src/base/clock.h"
+#include "burdockhill/src/base/store_revision.h"
 #include "burdockhill/src/base/units.h"
 #include "burdockhill/src/http/message.h"
 #include "burdockhill/src/routing/kv_cache_ledger.h"
@@ -127,7 +128,7 @@
 // One object of the store. The content is not decoded.
 struct FeedObject {
   std::string name;
-  uint64_t revision = 0;
+  StoreRevision revision;  // Codecs do not set the era.
   bool deleted = false;
   std::string content;  // JSON, as it was written to the store.
 };
@@ -136,7 +137,8 @@
 struct FeedPage {
   std::vector<FeedObject> objects;
   bool has_more = false;  // Lists only: there are further pages.
-  uint64_t revision = 0;  // Of the store, as of which the page is complete.
+  // Of the store, as of which the page is complete. Codecs do not set the era.
+  StoreRevision revision;
 };
 
 // Encodes list and watch calls for one kind of store object.
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -96,7 +96,7 @@
 }
 
 void ConfigurationUpdater::OnList(const std::vector<FeedObject>& objects,
-                                  uint64_t /*revision*/) {
+                                  StoreRevision /*revision*/) {
   for (const FeedObject& object : objects) OnChange(object);
 }
 
@@ -105,9 +105,10 @@
   std::optional<RoutingConfiguration> configuration =
       m_codec->DecodeConfiguration(object);
   if (!configuration.has_value()) {
-    m_board->log->Write("configuration_rejected",
-                        {{"object", object.name},
-                         {"revision", static_cast<int64_t>(object.revision)}});
+    m_board->log->Write(
+        "configuration_rejected",
+        {{"object", object.name},
+         {"revision", static_cast<int64_t>(object.revision.number)}});
     m_board->metrics.IncrementCounter(
         "burdockhill_configurations_rejected_total", {});
     return;
@@ -135,13 +136,13 @@
   if (!upstream.has_value()) {
     m_log->Write("registration_ignored",
                  {{"upstream", object.name},
-                  {"revision", static_cast<int64_t>(object.revision)}});
+                  {"revision", static_cast<int64_t>(object.revision.number)}});
   }
   return upstream;
 }
 
 void UpstreamDirectoryUpdater::OnList(const std::vector<FeedObject>& objects,
-                                      uint64_t revision) {
+                                      StoreRevision revision) {
   std::vector<RegisteredUpstream> upstreams;
   for (const FeedObject& object : objects) {
     if (auto upstream = DecodeRegistration(object)) {
@@ -150,7 +151,7 @@
   }
   m_log->Write("upstreams_listed",
                {{"count", static_cast<int64_t>(upstreams.size())},
-                {"revision", static_cast<int64_t>(revision)}});
+                {"revision", static_cast<int64_t>(revision.number)}});
   m_directory->ApplyList(std::move(upstreams), revision, m_clock->Now());
 }
 
@@ -169,7 +170,7 @@
                {{"upstream", object.name},
                 {"address", upstream->address},
                 {"leaving", upstream->leaving},
-                {"revision", static_cast<int64_t>(object.revision)}});
+                {"revision", static_cast<int64_t>(object.revision.number)}});
   m_directory->ApplyUpdate(std::move(*upstream));
 }
 
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -51,7 +51,7 @@
   ConfigurationUpdater(EntryBoard* board, const ObjectCodec* codec)
       : m_board(board), m_codec(codec) {}
   void OnList(const std::vector<FeedObject>& objects,
-              uint64_t revision) override;
+              StoreRevision revision) override;
   void OnChange(const FeedObject& object) override;
   void OnStoreCallFailed() override {}
 
@@ -68,7 +68,7 @@
                            EventLog* log)
       : m_directory(directory), m_codec(codec), m_clock(clock), m_log(log) {}
   void OnList(const std::vector<FeedObject>& objects,
-              uint64_t revision) override;
+              StoreRevision revision) override;
   void OnChange(const FeedObject& object) override;
   void OnStoreCallFailed() override {
     m_directory->RecordOutage(m_clock->Now());
--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -128,6 +128,7 @@
   if (m_status != http::kOk) return BackOff("refused", m_status);
   std::optional<FeedPage> page = m_codec->DecodePage(m_body);
   m_body.clear();
+  if (page.has_value()) SetEra(&*page);
   if (!page.has_value()) return BackOff("answer cannot be decoded", m_status);
   if (m_consecutive_failures > 0) {
     m_log->Write("store_regained",
@@ -142,6 +143,11 @@
   }
 }
 
+void ObjectFeed::SetEra(FeedPage* page) const {
+  page->revision.era = m_era;
+  for (FeedObject& object : page->objects) object.revision.era = m_era;
+}
+
 void ObjectFeed::HandleListPage(FeedPage page) {
   for (FeedObject& object : page.objects) {
     m_list_cursor = std::max(m_list_cursor, object.name);
@@ -156,12 +162,12 @@
     return ScheduleCall(m_random->Jitter(
         std::max(m_options.list_interval, count * kListIntervalPerObject)));
   }
-  m_revision = page.revision;
+  m_revision = page.revision.number;
   StartCall();
 }
 
 void ObjectFeed::HandleWatchPage(const FeedPage& page) {
-  m_revision = std::max(m_revision, page.revision);
+  m_revision = std::max(m_revision, page.revision.number);
   for (const FeedObject& object : page.objects) m_events->OnChange(object);
   if (page.objects.empty()) return StartCall();
   ScheduleCall(m_options.watch_delay);
--- a/burdockhill/src/gateway/object_feed.h
+++ b/burdockhill/src/gateway/object_feed.h
@@ -17,7 +17,7 @@
   virtual ~FeedEvents() = default;
   // The complete list of objects as of `revision`.
   virtual void OnList(const std::vector<FeedObject>& objects,
-                      uint64_t revision) = 0;
+                      StoreRevision revision) = 0;
   // One object was written or deleted.
   virtual void OnChange(const FeedObject& object) = 0;
   // A call to the store failed or was refused. The feed retries by itself.
@@ -76,6 +76,7 @@
   // cannot be used, and another call was started or scheduled.
   bool CheckEra();
   bool IsListOnly() const { return m_options.list_interval > Duration(0); }
+  void SetEra(FeedPage* page) const;
   void HandleListPage(FeedPage page);
   void HandleWatchPage(const FeedPage& page);
   // Handles a failed call: logs the first one, reports it, and schedules the
--- a/burdockhill/src/gateway/peer_relay.cc
+++ b/burdockhill/src/gateway/peer_relay.cc
@@ -57,7 +57,7 @@
 }
 
 void PeerRelay::SetRegistrations(const std::vector<FeedObject>& objects,
-                                 uint64_t revision) {
+                                 StoreRevision revision) {
   m_objects.clear();
   m_registrations_revision = revision;
   for (const FeedObject& object : objects) UpdateRegistration(object);
@@ -209,7 +209,7 @@
   m_log->Write("upstreams_from_peer",
                {{"peer", from.Value()},
                 {"count", static_cast<int64_t>(message.objects.size())},
-                {"revision", static_cast<int64_t>(message.revision)}});
+                {"revision", static_cast<int64_t>(message.revision.number)}});
   std::vector<FeedObject> objects;
   for (const RelayedObject& object : message.objects) {
     objects.push_back({object.name, object.revision, false, object.content});
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -44,7 +44,7 @@
   // Caches objects that were read from the store, to answer requests of peers.
   void SetConfiguration(const FeedObject& object);
   void SetRegistrations(const std::vector<FeedObject>& objects,
-                        uint64_t revision);
+                        StoreRevision revision);
   void UpdateRegistration(const FeedObject& object);
 
   // Sends offers and requests that are due. Call once per iteration of the
@@ -81,7 +81,7 @@
   FeedObject m_cached_configuration;
   // Cached registrations by name.
   std::map<std::string, RelayedObject> m_objects;
-  uint64_t m_registrations_revision = 0;
+  StoreRevision m_registrations_revision;
   Generation m_newest_peer_generation;  // Highest one that a peer has in force.
   VmName m_newest_peer;                 // That peer.
   TimePoint m_behind_since{};
@@ -96,7 +96,7 @@
   CachingConfigurationEvents(FeedEvents* next, PeerRelay* relay)
       : m_next(next), m_relay(relay) {}
   void OnList(const std::vector<FeedObject>& objects,
-              uint64_t revision) override {
+              StoreRevision revision) override {
     for (const FeedObject& object : objects) m_relay->SetConfiguration(object);
     m_next->OnList(objects, revision);
   }
@@ -117,7 +117,7 @@
   CachingRegistrationEvents(FeedEvents* next, PeerRelay* relay)
       : m_next(next), m_relay(relay) {}
   void OnList(const std::vector<FeedObject>& objects,
-              uint64_t revision) override {
+              StoreRevision revision) override {
     m_relay->SetRegistrations(objects, revision);
     m_next->OnList(objects, revision);
   }
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -10,6 +10,7 @@
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/error_kind.h"
 #include "burdockhill/src/base/id.h"
+#include "burdockhill/src/base/store_revision.h"
 #include "burdockhill/src/base/units.h"
 
 namespace burdockhill {
@@ -241,14 +242,14 @@
 // An object of the store, with its content unchanged.
 struct RelayedObject {
   std::string name;
-  uint64_t revision = 0;
+  StoreRevision revision;
   std::string content;
 };
 
 // Entry to entry: requests the list of registered upstreams, or contains it.
 struct Registrations {
   bool request = false;
-  uint64_t revision = 0;  // Store revision that the list corresponds to.
+  StoreRevision revision;  // Store revision that the list corresponds to.
   std::vector<RelayedObject> objects;
 };
 
--- a/burdockhill/src/routing/upstream_directory.cc
+++ b/burdockhill/src/routing/upstream_directory.cc
@@ -11,10 +11,25 @@
 // again within 2 s of its recovery.
 constexpr Duration kGracePeriod = std::chrono::milliseconds(2500);
 
+// Whether `one` is of an older process than `other`. Revisions of different
+// eras do not tell, but the times at which the processes started do.
+bool IsOlderProcess(const RegisteredUpstream& one,
+                    const RegisteredUpstream& other) {
+  const bool times_known = one.started_at_ms != 0 && other.started_at_ms != 0;
+  if (one.revision.era != other.revision.era && times_known) {
+    return one.started_at_ms < other.started_at_ms;
+  }
+  return one.revision < other.revision;
+}
+
 }  // namespace
 
 void UpstreamDirectory::ApplyList(std::vector<RegisteredUpstream> upstreams,
-                                  uint64_t revision, TimePoint now) {
+                                  StoreRevision revision, TimePoint now) {
+  // Upstreams that registered after the copy was made register again.
+  const bool restored = m_has_list && revision.era > m_list_era;
+  if (restored) RecordOutage(now);
+  m_list_era = revision.era;
   std::set<UpstreamName> listed;
   for (RegisteredUpstream& upstream : upstreams) {
     listed.insert(upstream.name);
@@ -51,7 +66,7 @@
 void UpstreamDirectory::UpdateLatest(const RegisteredUpstream& upstream) {
   UpstreamName& latest = m_latest[{upstream.service, upstream.address}];
   const RegisteredUpstream* other = Find(latest);
-  if (other == nullptr || other->revision <= upstream.revision) {
+  if (other == nullptr || !IsOlderProcess(upstream, *other)) {
     latest = upstream.name;
   }
 }
@@ -73,7 +88,7 @@
 }
 
 void UpstreamDirectory::ApplyRemoval(const UpstreamName& name,
-                                     uint64_t revision, TimePoint now) {
+                                     StoreRevision revision, TimePoint now) {
   const auto found = m_upstreams.find(name);
   if (found == m_upstreams.end() || found->second.revision > revision) return;
   EndRegistration(name, now);
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -10,6 +10,7 @@
 
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
+#include "burdockhill/src/base/store_revision.h"
 #include "burdockhill/src/peer/message.h"
 
 namespace burdockhill {
@@ -23,7 +24,11 @@
   bool leaving = false;            // Accepts no new calls.
   std::optional<EngineRole> role;  // Model engines only.
   int slots = 0;
-  uint64_t revision = 0;  // Of the registration; increases with each change.
+  StoreRevision revision;  // Of the registration; increases with each change.
+  // When the process started, by its own clock; zero if unknown.
+  int64_t started_at_ms = 0;
+  // Increases each time that the process writes its registration.
+  int64_t write_count = 0;
 };
 
 // The registered upstreams. A registration that ends during or shortly after an
@@ -33,16 +38,20 @@
 // An upstream that restarted under a new name is registered under the old one
 // too until that expires. The older registration of a service at an address is
 // superseded: the process that it names has ended.
+//
+// A registry that was restored from a copy begins a new era, in which revisions
+// are given out again.
 class UpstreamDirectory {
  public:
   // Applies a complete list as of `revision`. Older registrations that are not
   // in the list have ended.
-  void ApplyList(std::vector<RegisteredUpstream> upstreams, uint64_t revision,
-                 TimePoint now);
+  void ApplyList(std::vector<RegisteredUpstream> upstreams,
+                 StoreRevision revision, TimePoint now);
   // Applies one registration. Ignored if a newer revision of it is known.
   void ApplyUpdate(RegisteredUpstream upstream);
   // Applies the end of a registration. Ignored if a newer revision is known.
-  void ApplyRemoval(const UpstreamName& name, uint64_t revision, TimePoint now);
+  void ApplyRemoval(const UpstreamName& name, StoreRevision revision,
+                    TimePoint now);
 
   // Records that the registry did not answer at `now`.
   void RecordOutage(TimePoint now) { m_last_outage = now; }
@@ -83,6 +92,7 @@
   std::map<UpstreamName, TimePoint> m_drop_at;  // When each is dropped.
   TimePoint m_last_outage{};
   bool m_has_list = false;
+  uint64_t m_list_era = 0;  // Era of the registry in the latest list.
   uint64_t m_version = 0;
 };
 
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -86,12 +86,13 @@
     std::vector<Offset<RelayedObject>> objects;
     objects.reserve(m.objects.size());
     for (const burdockhill::RelayedObject& object : m.objects) {
-      objects.push_back(CreateRelayedObject(b, CreateText(b, object.name),
-                                            object.revision,
-                                            CreateText(b, object.content)));
+      objects.push_back(CreateRelayedObject(
+          b, CreateText(b, object.name), object.revision.number,
+          CreateText(b, object.content), object.revision.era));
     }
-    SetBody(Body::Registrations, CreateRegistrations(b, m.request, m.revision,
-                                                     b.CreateVector(objects)));
+    SetBody(Body::Registrations,
+            CreateRegistrations(b, m.request, m.revision.number,
+                                b.CreateVector(objects), m.revision.era));
   }
   void operator()(const burdockhill::PromptPartNotice& m) {
     SetBody(Body::PromptPartNotice,
@@ -296,10 +297,11 @@
 std::optional<Message> Decode(const Registrations& m) {
   burdockhill::Registrations out;
   out.request = m.request();
-  out.revision = m.revision();
+  out.revision = {m.era(), m.revision()};
   if (m.objects() == nullptr) return out;
   for (const RelayedObject* object : *m.objects()) {
-    out.objects.push_back({ReadText(object->name()), object->revision(),
+    out.objects.push_back({ReadText(object->name()),
+                           {object->era(), object->revision()},
                            ReadText(object->content())});
   }
   return out;
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -124,7 +124,7 @@
 
   // The upstreams and routes do not come from a store.
   class NoFeedEvents : public FeedEvents {
-    void OnList(const std::vector<FeedObject>&, uint64_t) override {}
+    void OnList(const std::vector<FeedObject>&, StoreRevision) override {}
     void OnChange(const FeedObject&) override {}
     void OnStoreCallFailed() override {}
   };
@@ -374,7 +374,7 @@
     RegisteredUpstream& registration = m_registrations[i];
     if (registration.role == m_runners[i]->Role()) continue;
     registration.role = m_runners[i]->Role();
-    ++registration.revision;
+    ++registration.revision.number;
     Register(registration);
   }
 }
@@ -389,7 +389,7 @@
 void GatewayDeployment::RegisterRunnersAgain() {
   for (RegisteredUpstream& registration : m_registrations) {
     registration.name = UpstreamName(registration.name.Value() + "-again");
-    ++registration.revision;
+    ++registration.revision.number;
     Register(registration);
   }
 }
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -288,7 +288,7 @@
  public:
   explicit ConfigurationApplier(RouteTable* routes) : m_routes(routes) {}
   void OnList(const std::vector<FeedObject>& objects,
-              uint64_t /*revision*/) override {
+              StoreRevision /*revision*/) override {
     for (const FeedObject& object : objects) OnChange(object);
   }
   void OnChange(const FeedObject& object) override {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -182,7 +182,7 @@
   STRCMP_EQUAL("i-1", upstream->name.Value().c_str());
   CHECK(upstream->role == EngineRole::kDecode);
   CHECK(!upstream->leaving);
-  LONGS_EQUAL(3, upstream->revision);
+  LONGS_EQUAL(3, upstream->revision.number);
 }
 
 TEST(ObjectCodec, RejectsMalformedRegistrations) {
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -133,6 +133,54 @@
   CHECK(m_directory.Find(UpstreamName("u")) != nullptr);
 }
 
+namespace {
+
+// As a process that started at this time wrote it, into this era of the store.
+RegisteredUpstream MakeWritten(const std::string& name, StoreRevision revision,
+                               int64_t started_at_ms, int64_t write_count) {
+  RegisteredUpstream upstream = MakeUpstream(name);
+  upstream.revision = revision;
+  upstream.started_at_ms = started_at_ms;
+  upstream.write_count = write_count;
+  return upstream;
+}
+
+}  // namespace
+
+TEST(UpstreamDirectory, ChangesAfterARestoreOfTheRegistryAreNotTakenForOlder) {
+  m_directory.ApplyList({MakeWritten("u", {1, 20}, 100, 5)}, {1, 20}, m_now);
+  RegisteredUpstream leaving = MakeWritten("u", {2, 12}, 100, 9);
+  leaving.leaving = true;
+  m_directory.ApplyUpdate(leaving);
+  CHECK(m_directory.Find(UpstreamName("u"))->leaving);
+  m_directory.ApplyRemoval(UpstreamName("u"), {2, 13}, m_now);
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("u")));
+}
+
+TEST(UpstreamDirectory,
+     RegistrationsThatTheRestoredRegistryLacksGetAGracePeriod) {
+  m_directory.ApplyList(
+      {MakeWritten("u", {1, 20}, 100, 5), MakeWritten("v", {1, 9}, 100, 5)},
+      {1, 20}, m_now);
+  m_directory.ApplyList({MakeWritten("v", {2, 9}, 100, 5)}, {2, 12}, m_now);
+  m_directory.Expire(m_now + milliseconds(2400));
+  CHECK(m_directory.Find(UpstreamName("u")) != nullptr);
+  m_directory.Expire(m_now + milliseconds(2600));
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("u")));
+  CHECK(m_directory.Find(UpstreamName("v")) != nullptr);
+}
+
+TEST(UpstreamDirectory, ARestoredRegistrationDoesNotSupersedeALaterProcess) {
+  RegisteredUpstream before = MakeWritten("before", {1, 5}, 100, 5);
+  RegisteredUpstream after = MakeWritten("after", {1, 20}, 900, 1);
+  after.address = before.address;
+  m_directory.ApplyList({after}, {1, 20}, m_now);
+  before.revision = {2, 5};
+  m_directory.ApplyList({before}, {2, 12}, m_now);
+  CHECK_FALSE(m_directory.IsSuperseded(after));
+  LONGS_EQUAL(1, m_directory.FindByService(ServiceName("s")).size());
+}
+
 TEST_GROUP(PlainPlacement) {
   const RegisteredUpstream* Choose(
       const std::set<UpstreamName>& excluded = {}) {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -41,7 +41,7 @@
       ReserveDecode{kAttempt, ServiceName("s"), RequestClass::kBatch,
                     Tokens(10), Tokens(20), Duration(30), Duration(40), 2},
       ReservePrefill{kAttempt, Tokens(10), Duration(30), Duration(40), 3},
-      Registrations{true, 3, {{"u", 2, "{}"}}},
+      Registrations{true, {4, 3}, {{"u", {4, 2}, "{}"}}},
       CrashNotice{77, UpstreamName("u")},
       PoolRates{1.5, 2.5},
       PromptPartNotice{PromptPartName("p"), UpstreamName("u"), Duration(4)},
