A restored registry does not bring back upstreams that leave or have left

What callers would see: requests to an upstream after the entry had acknowledged that it leaves (DRAIN), or to one that has ended.

Cause: whatever the store listed last was taken for the latest word of the upstream. A copy from before the upstream's leave says that it is ready, and the same is true of a write that the store carries out late. Class: a restored or delayed statement trusted over a later one of the same writer.

Evidence: ARestoredRegistrationDoesNotUndoALeave, AWriteThatIsCarriedOutLateDoesNotUndoALeave, ARestoredRegistrationOfAnUpstreamThatIsGoneIsNotUsed and ARestoredRegistrationThatIsRenewedIsUsedAgain failed before.

Fix: registrations carry when their process started and how often it has written; one that its process has overtaken is ignored, whatever its revision. An upstream that had ended before the restore and is listed in the new era is used once it is still listed after 6 s, in which the registry drops what nobody renews, or when it writes again.

--- a/burdockhill/src/routing/upstream_directory.cc
+++ b/burdockhill/src/routing/upstream_directory.cc
@@ -11,6 +11,20 @@
 // again within 2 s of its recovery.
 constexpr Duration kGracePeriod = std::chrono::milliseconds(2500);
 
+// Time in which a restored registry drops the registration of an upstream that
+// does not renew it, and entries are told.
+constexpr Duration kRestoredTime = std::chrono::seconds(6);
+// The copy that a registry is restored from is not older.
+constexpr Duration kEndedTime = std::chrono::seconds(120);
+
+// Whether the process has written the known registration after this one.
+bool IsOvertaken(const RegisteredUpstream& upstream,
+                 const RegisteredUpstream& known) {
+  return upstream.started_at_ms != 0 &&
+         upstream.started_at_ms == known.started_at_ms &&
+         upstream.write_count < known.write_count;
+}
+
 // Whether `one` is of an older process than `other`. Revisions of different
 // eras do not tell, but the times at which the processes started do.
 bool IsOlderProcess(const RegisteredUpstream& one,
@@ -33,8 +47,16 @@
   std::set<UpstreamName> listed;
   for (RegisteredUpstream& upstream : upstreams) {
     listed.insert(upstream.name);
-    ApplyUpdate(std::move(upstream));
+    if (MayHaveEnded(upstream)) {
+      const UpstreamName name = upstream.name;
+      m_restored.try_emplace(
+          name, Restored{std::move(upstream), now + kRestoredTime});
+    } else {
+      ApplyUpdate(std::move(upstream));
+    }
   }
+  std::erase_if(m_restored,
+                [&](const auto& item) { return !listed.contains(item.first); });
   std::vector<UpstreamName> missing;
   for (const auto& [name, upstream] : m_upstreams) {
     if (!listed.contains(name) && upstream.revision <= revision) {
@@ -51,6 +73,12 @@
       found->second.revision > upstream.revision) {
     return;
   }
+  m_restored.erase(upstream.name);
+  if (found != m_upstreams.end() && IsOvertaken(upstream, found->second)) {
+    found->second.revision = upstream.revision;
+    m_drop_at.erase(upstream.name);
+    return;
+  }
   m_drop_at.erase(upstream.name);
   ++m_version;
   const UpstreamName name = upstream.name;
@@ -63,6 +91,13 @@
   UpdateLatest(stored->second);
 }
 
+bool UpstreamDirectory::MayHaveEnded(const RegisteredUpstream& upstream) const {
+  const auto ended = m_ended.find(upstream.name);
+  return ended != m_ended.end() && !m_upstreams.contains(upstream.name) &&
+         upstream.started_at_ms == ended->second.started_at_ms &&
+         upstream.revision.era > ended->second.era;
+}
+
 void UpstreamDirectory::UpdateLatest(const RegisteredUpstream& upstream) {
   UpstreamName& latest = m_latest[{upstream.service, upstream.address}];
   const RegisteredUpstream* other = Find(latest);
@@ -81,14 +116,18 @@
   return latest != m_latest.end() && latest->second != upstream.name;
 }
 
-void UpstreamDirectory::Drop(const UpstreamName& name) {
-  m_upstreams.erase(name);
+void UpstreamDirectory::Drop(const UpstreamName& name, TimePoint now) {
+  const auto found = m_upstreams.find(name);
+  if (found == m_upstreams.end()) return;
+  m_ended[name] = {found->second.started_at_ms, m_list_era, now};
+  m_upstreams.erase(found);
   ++m_version;
   RebuildLatest();
 }
 
 void UpstreamDirectory::ApplyRemoval(const UpstreamName& name,
                                      StoreRevision revision, TimePoint now) {
+  m_restored.erase(name);
   const auto found = m_upstreams.find(name);
   if (found == m_upstreams.end() || found->second.revision > revision) return;
   EndRegistration(name, now);
@@ -103,7 +142,7 @@
     return;
   }
   m_drop_at.erase(name);
-  Drop(name);
+  Drop(name, now);
 }
 
 void UpstreamDirectory::Expire(TimePoint now) {
@@ -112,9 +151,17 @@
       ++it;
       continue;
     }
-    Drop(it->first);
+    Drop(it->first, now);
     it = m_drop_at.erase(it);
   }
+  std::vector<RegisteredUpstream> used;
+  for (const auto& [name, restored] : m_restored) {
+    if (now >= restored.use_at) used.push_back(restored.upstream);
+  }
+  for (RegisteredUpstream& upstream : used) ApplyUpdate(std::move(upstream));
+  std::erase_if(m_ended, [&](const auto& item) {
+    return now - item.second.at > kEndedTime;
+  });
 }
 
 const RegisteredUpstream* UpstreamDirectory::Find(
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -40,7 +40,10 @@
 // superseded: the process that it names has ended.
 //
 // A registry that was restored from a copy begins a new era, in which revisions
-// are given out again.
+// are given out again. What it lists then may have been overtaken by what was
+// known before: a registration that its process has written again since is
+// ignored, and one that had ended is used only if it is still listed after a
+// time in which the registry would have dropped it.
 class UpstreamDirectory {
  public:
   // Applies a complete list as of `revision`. Older registrations that are not
@@ -78,10 +81,13 @@
   uint64_t Version() const { return m_version; }
 
  private:
+  // Whether the registration, as listed in a new era, may be one that had ended
+  // before.
+  bool MayHaveEnded(const RegisteredUpstream& upstream) const;
   // Drops the registration, or schedules that if the registry had an outage
   // recently.
   void EndRegistration(const UpstreamName& name, TimePoint now);
-  void Drop(const UpstreamName& name);
+  void Drop(const UpstreamName& name, TimePoint now);
   // Makes the registration the latest at its address if no newer one is known.
   void UpdateLatest(const RegisteredUpstream& upstream);
   void RebuildLatest();
@@ -90,6 +96,18 @@
   // The latest registration of each service at each address.
   std::map<std::pair<ServiceName, std::string>, UpstreamName> m_latest;
   std::map<UpstreamName, TimePoint> m_drop_at;  // When each is dropped.
+  struct Ended {
+    int64_t started_at_ms = 0;
+    uint64_t era = 0;
+    TimePoint at{};
+  };
+  std::map<UpstreamName, Ended> m_ended;  // Registrations dropped lately.
+  struct Restored {
+    RegisteredUpstream upstream;
+    TimePoint use_at{};
+  };
+  // Registrations of a restored registry that may have ended before.
+  std::map<UpstreamName, Restored> m_restored;
   TimePoint m_last_outage{};
   bool m_has_list = false;
   uint64_t m_list_era = 0;  // Era of the registry in the latest list.
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -181,6 +181,67 @@
   LONGS_EQUAL(1, m_directory.FindByService(ServiceName("s")).size());
 }
 
+TEST(UpstreamDirectory, ARestoredRegistrationDoesNotUndoALeave) {
+  RegisteredUpstream leaving = MakeWritten("u", {1, 20}, 100, 9);
+  leaving.leaving = true;
+  m_directory.ApplyList({leaving}, {1, 20}, m_now);
+  m_directory.ApplyList({MakeWritten("u", {2, 5}, 100, 7)}, {2, 12}, m_now);
+  CHECK(m_directory.Find(UpstreamName("u"))->leaving);
+  // The same process writes again, and a later one starts under the name.
+  leaving.revision = {2, 13};
+  leaving.write_count = 10;
+  m_directory.ApplyUpdate(leaving);
+  CHECK(m_directory.Find(UpstreamName("u"))->leaving);
+  m_directory.ApplyUpdate(MakeWritten("u", {2, 14}, 900, 1));
+  CHECK_FALSE(m_directory.Find(UpstreamName("u"))->leaving);
+}
+
+TEST(UpstreamDirectory, AWriteThatIsCarriedOutLateDoesNotUndoALeave) {
+  RegisteredUpstream leaving = MakeWritten("u", {1, 20}, 100, 9);
+  leaving.leaving = true;
+  m_directory.ApplyUpdate(leaving);
+  m_directory.ApplyUpdate(MakeWritten("u", {1, 21}, 100, 8));
+  CHECK(m_directory.Find(UpstreamName("u"))->leaving);
+}
+
+TEST(UpstreamDirectory, ARestoredRegistrationOfAnUpstreamThatIsGoneIsNotUsed) {
+  m_directory.ApplyList({MakeWritten("u", {1, 5}, 100, 1)}, {1, 20}, m_now);
+  m_directory.ApplyRemoval(UpstreamName("u"), {1, 21}, m_now);
+  m_now += seconds(5);
+  // The process wrote more often than was noticed.
+  m_directory.ApplyList({MakeWritten("u", {2, 5}, 100, 7)}, {2, 12}, m_now);
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("u")));
+  // The registry drops it, as nobody renews it.
+  m_directory.ApplyRemoval(UpstreamName("u"), {2, 15}, m_now + seconds(4));
+  m_directory.Expire(m_now + seconds(20));
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("u")));
+}
+
+TEST(UpstreamDirectory, ARestoredRegistrationThatIsRenewedIsUsedAgain) {
+  for (const bool noticed : {false, true}) {
+    UpstreamDirectory directory;
+    directory.ApplyList({MakeWritten("u", {1, 5}, 100, 1)}, {1, 20}, m_now);
+    directory.ApplyRemoval(UpstreamName("u"), {1, 21}, m_now);
+    directory.ApplyList({MakeWritten("u", {2, 5}, 100, 7)}, {2, 12}, m_now);
+    if (noticed) {
+      directory.ApplyUpdate(MakeWritten("u", {2, 13}, 100, 8));
+    } else {
+      // Renewals that change nothing else are not told.
+      directory.Expire(m_now + milliseconds(5900));
+      POINTERS_EQUAL(nullptr, directory.Find(UpstreamName("u")));
+      directory.Expire(m_now + milliseconds(6100));
+    }
+    CHECK(directory.Find(UpstreamName("u")) != nullptr);
+  }
+}
+
+TEST(UpstreamDirectory, AnUpstreamThatRegistersAgainInTheSameEraIsUsedAtOnce) {
+  m_directory.ApplyList({MakeWritten("u", {1, 5}, 100, 1)}, {1, 20}, m_now);
+  m_directory.ApplyRemoval(UpstreamName("u"), {1, 21}, m_now);
+  m_directory.ApplyUpdate(MakeWritten("u", {1, 22}, 100, 3));
+  CHECK(m_directory.Find(UpstreamName("u")) != nullptr);
+}
+
 TEST_GROUP(PlainPlacement) {
   const RegisteredUpstream* Choose(
       const std::set<UpstreamName>& excluded = {}) {
