Entries relay the configuration that is in force, not the last one read

What callers would see: an entry that cannot reach the store stays at an older configuration, with routes missing, while its peers offer the newer one.

Cause: the relay cached the configuration with the highest revision, and offered it as the generation in force. A restored store returns an older configuration with a revision of its own, or a newer one with a lower revision. Class: a revision taken for the age of a configuration, which its generation tells.

Evidence: AConfigurationOfARestoredStoreIsNotRelayedAsTheOneInForce failed before, as the peer got generation 5 instead of 7.

Fix: the relay caches a configuration only if it came into force, whatever its revision. Two more tests, which passed before, show that an entry that starts with a restored store takes the newer configuration of its peers, and keeps it.

--- a/burdockhill/src/gateway/peer_relay.cc
+++ b/burdockhill/src/gateway/peer_relay.cc
@@ -50,10 +50,11 @@
   return m_routes->Configuration().generation;
 }
 
-void PeerRelay::SetConfiguration(const FeedObject& object) {
-  if (!object.deleted && object.revision >= m_cached_configuration.revision) {
-    m_cached_configuration = object;
-  }
+void PeerRelay::ForwardConfiguration(const FeedObject& object,
+                                     FeedEvents* next) {
+  const Generation former = CurrentGeneration();
+  next->OnChange(object);
+  if (CurrentGeneration() > former) m_cached_configuration = object;
 }
 
 void PeerRelay::SetRegistrations(const std::vector<FeedObject>& objects,
@@ -185,9 +186,10 @@
         {{"peer", from.Value()},
          {"generation", static_cast<int64_t>(offer.generation.Value())},
          {"had", static_cast<int64_t>(CurrentGeneration().Value())}});
-    m_cached_configuration.name = m_options.configuration_name;
-    m_cached_configuration.content = offer.content;
-    return m_configuration_events->OnChange(m_cached_configuration);
+    FeedObject object;
+    object.name = m_options.configuration_name;
+    object.content = offer.content;
+    return ForwardConfiguration(object, m_configuration_events);
   }
   if (offer.generation <= m_newest_peer_generation) return;
   m_newest_peer_generation = offer.generation;
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -41,8 +41,10 @@
             const Clock* clock, EventLog* log, FeedEvents* configuration_events,
             FeedEvents* registration_events);
 
+  // Passes a configuration on to `next`, and caches it to answer requests of
+  // peers if it has come into force. A store may also return older ones.
+  void ForwardConfiguration(const FeedObject& object, FeedEvents* next);
   // Caches objects that were read from the store, to answer requests of peers.
-  void SetConfiguration(const FeedObject& object);
   void SetRegistrations(const std::vector<FeedObject>& objects,
                         StoreRevision revision);
   void UpdateRegistration(const FeedObject& object);
@@ -90,19 +92,18 @@
   TimePoint m_started_at{};
 };
 
-// Forwards the events of a feed to `next` and caches the objects in the relay.
+// Forwards the configurations of a feed to `next`, and caches the one in force
+// in the relay.
 class CachingConfigurationEvents : public FeedEvents {
  public:
   CachingConfigurationEvents(FeedEvents* next, PeerRelay* relay)
       : m_next(next), m_relay(relay) {}
   void OnList(const std::vector<FeedObject>& objects,
-              StoreRevision revision) override {
-    for (const FeedObject& object : objects) m_relay->SetConfiguration(object);
-    m_next->OnList(objects, revision);
+              StoreRevision /*revision*/) override {
+    for (const FeedObject& object : objects) OnChange(object);
   }
   void OnChange(const FeedObject& object) override {
-    m_relay->SetConfiguration(object);
-    m_next->OnChange(object);
+    m_relay->ForwardConfiguration(object, m_next);
   }
   void OnStoreCallFailed() override { m_next->OnStoreCallFailed(); }
 
@@ -111,7 +112,7 @@
   PeerRelay* m_relay;
 };
 
-// Same as CachingConfigurationEvents, for registrations of upstreams.
+// Forwards the registrations of a feed to `next` and caches them in the relay.
 class CachingRegistrationEvents : public FeedEvents {
  public:
   CachingRegistrationEvents(FeedEvents* next, PeerRelay* relay)
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -339,8 +339,8 @@
     object.name = "main";
     object.revision = 3;
     object.content = kNewerConfiguration;
-    m_synced.relay.SetConfiguration(object);
-    m_synced.configuration_applier.OnChange(object);
+    m_synced.relay.ForwardConfiguration(object,
+                                        &m_synced.configuration_applier);
     FeedObject server;
     server.name = "u";
     server.revision = 2;
@@ -433,6 +433,52 @@
   LONGS_EQUAL(7, m_new.routes.Configuration().generation.Value());
 }
 
+namespace {
+
+constexpr char kOlderConfiguration[] =
+    R"({"version":5,"routes":[],"services":[]})";
+
+FeedObject ConfigurationObject(StoreRevision revision,
+                               const std::string& content) {
+  FeedObject object;
+  object.name = "main";
+  object.revision = revision;
+  object.content = content;
+  return object;
+}
+
+}  // namespace
+
+TEST(PeerRelay, AConfigurationOfARestoredStoreIsNotRelayedAsTheOneInForce) {
+  CachingConfigurationEvents events(&m_synced.configuration_applier,
+                                    &m_synced.relay);
+  events.OnList({ConfigurationObject({2, 9}, kOlderConfiguration)}, {2, 9});
+  LONGS_EQUAL(7, m_synced.routes.Configuration().generation.Value());
+  AdvanceTime(seconds(2));
+  LONGS_EQUAL(7, m_new.routes.Configuration().generation.Value());
+}
+
+TEST(PeerRelay, ANewerConfigurationIsRelayedAlthoughItsRevisionIsLower) {
+  CachingConfigurationEvents events(&m_synced.configuration_applier,
+                                    &m_synced.relay);
+  events.OnChange(ConfigurationObject(
+      {2, 1}, R"({"version":8,"routes":[],"services":[]})"));
+  AdvanceTime(seconds(2));
+  LONGS_EQUAL(8, m_new.routes.Configuration().generation.Value());
+}
+
+TEST(PeerRelay,
+     AnEntryThatStartsWithARestoredStoreTakesTheConfigurationOfItsPeers) {
+  CachingConfigurationEvents events(&m_new.configuration_applier, &m_new.relay);
+  events.OnList({ConfigurationObject({2, 9}, kOlderConfiguration)}, {2, 9});
+  LONGS_EQUAL(5, m_new.routes.Configuration().generation.Value());
+  AdvanceTime(milliseconds(1500));
+  LONGS_EQUAL(7, m_new.routes.Configuration().generation.Value());
+  // Once more from the restored store.
+  events.OnChange(ConfigurationObject({2, 10}, kOlderConfiguration));
+  LONGS_EQUAL(7, m_new.routes.Configuration().generation.Value());
+}
+
 TEST_GROUP(EngineAgent) {
   void setup() override {
     RegisteredUpstream engine = MakeUpstream("e", "llm", kDecodeOne);
