--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -14,7 +14,6 @@
 constexpr uint16_t kPeerPort = 7660;
 constexpr char kService[] = "llm";
 constexpr char kPlainService[] = "plain";
-constexpr Duration kPlainCallTime = std::chrono::milliseconds(60);
 constexpr int kEntriesPerSubnet = 200;
 constexpr int kSlots = 64;
 constexpr double kLengthSigma = 0.5;
@@ -279,9 +278,8 @@
     m_peers[VmName(RunnerHost(i))] = &m_agents.back()->agent;
   }
   for (int i = 0; i < options.plain_upstreams; ++i) {
-    m_plain.push_back(std::make_unique<PlainUpstreamFake>(
-        PlainAddress(i), kPlainCallTime, &m_socket_network, &m_queue,
-        &m_clock));
+    m_plain.push_back(std::make_unique<PlainRunnerFake>(
+        PlainAddress(i), &m_socket_network, &m_queue, &m_clock, &m_counts));
     RegisteredUpstream upstream;
     upstream.name = UpstreamName("plain-" + std::to_string(i));
     upstream.service = ServiceName(kPlainService);
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -10,7 +10,7 @@
 
 #include "burdockhill/gateway.h"
 #include "emulation/model_runner_fake.h"
-#include "emulation/plain_upstream_fake.h"
+#include "emulation/plain_runner_fake.h"
 #include "emulation/socket_network_fake.h"
 #include "platform/platform.h"
 
@@ -122,7 +122,7 @@
                          const std::function<int()>& choose);
 
   RequestRate& PlainRate(int index) { return m_plain.at(index)->Rate(); }
-  PlainUpstreamFake& Plain(int index) { return *m_plain.at(index); }
+  PlainRunnerFake& Plain(int index) { return *m_plain.at(index); }
   RequestRate& RunnerRate(int index) { return m_runners.at(index)->Rate(); }
   Random& Randomness() { return m_random; }
   int EntryCount() const { return static_cast<int>(m_entries.size()); }
@@ -180,7 +180,7 @@
   };
   std::vector<HeldMessage> m_held;  // For frozen entries.
   RoutingConfiguration m_routes;
-  std::vector<std::unique_ptr<PlainUpstreamFake>> m_plain;
+  std::vector<std::unique_ptr<PlainRunnerFake>> m_plain;
   std::vector<std::unique_ptr<ModelRunnerFake>> m_runners;
   std::vector<RegisteredUpstream> m_registrations;  // Of each runner.
   std::vector<std::string> m_decode_addresses;
