Soak: upstreams state rate limits, the store is restored from a copy

The store names its era and goes back to a copy at random moments; upstreams and the operator write again 1.5 s later. Upstreams state limits until the load ends, and the check counts what reached them by way of entries that were neither killed nor paused. Runs on different loopback networks go side by side.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <set>
 #include <thread>
@@ -24,6 +25,9 @@
 ABSL_FLAG(int, seconds, 15, "Duration of the load.");
 ABSL_FLAG(int, entries, 2, "Entries that soak/run has started.");
 ABSL_FLAG(int, engines, 4, "Engines, whose agents soak/run has started.");
+ABSL_FLAG(int, net, 0,
+          "Second number of the loopback addresses, 127.NET.x.y; runs with "
+          "different ones do not disturb each other.");
 ABSL_FLAG(double, rate, 12, "Requests per second.");
 ABSL_FLAG(
     std::string, signals, "",
@@ -46,14 +50,25 @@
 // last graceful stop is over, restarted entries have reached the store, and all
 // have the configuration.
 constexpr Duration kSettleDelay = std::chrono::seconds(9);
+// Time from the first statement of a limit until it must be kept, the time in
+// which requests are counted, and what is allowed besides one and a half times
+// the limit.
+constexpr Duration kLimitSettleDelay = std::chrono::seconds(4);
+constexpr Duration kLimitWindow = std::chrono::seconds(4);
+constexpr double kLimitSlackFactor = 1.5;
+constexpr int64_t kLimitSlackRequests = 5;
+// A store that was restored has what upstreams and operators write after this.
+constexpr Duration kWriteAgainDelay = std::chrono::milliseconds(1500);
 // One engine in this many computes prompts.
 constexpr int kEnginesPerPrefill = 4;
 
-std::string EntryAddress(int i) {
-  return "127.0.0." + std::to_string(11 + i) + ":8000";
+std::string Host(int subnet, int i) {
+  return "127." + std::to_string(absl::GetFlag(FLAGS_net)) + "." +
+         std::to_string(subnet) + "." + std::to_string(i);
 }
-std::string EngineHost(int i) { return "127.0.1." + std::to_string(1 + i); }
-std::string PlainHost(int i) { return "127.0.3." + std::to_string(1 + i); }
+std::string EntryAddress(int i) { return Host(0, 11 + i) + ":8000"; }
+std::string EngineHost(int i) { return Host(1, 1 + i); }
+std::string PlainHost(int i) { return Host(3, 1 + i); }
 
 enum class CallKind { kNonIdempotent, kIdempotent, kStream, kResumableStream };
 constexpr const char* kPaths[] = {"/once/", "/safe/", "/stream/", "/resume/"};
@@ -113,7 +128,7 @@
  public:
   Soak()
       : m_random(absl::GetFlag(FLAGS_seed)),
-        m_store(&m_sockets, &m_manual_clock, "127.0.0.1:7900") {
+        m_store(&m_sockets, &m_manual_clock, Host(0, 1) + ":7900") {
     ChangeConfiguration();
     for (int i = 0; i < absl::GetFlag(FLAGS_engines); ++i) AddEngine(i);
     for (int i = 0; i < kPlainServices; ++i) AddPlain(i);
@@ -147,12 +162,13 @@
     add("/stream/", "streaming", false, "llm");
     add("/resume/", "streaming", true, "llm");
     add(NewestPath(), "safe", false, "plain");
-    m_store.Put(
-        "config", "main",
-        {{"version", m_version}, {"routes", routes}, {"services", services}});
+    m_configuration = {
+        {"version", m_version}, {"routes", routes}, {"services", services}};
+    m_store.Put("config", "main", m_configuration);
   }
 
   int Run() {
+    m_store.SaveCopy();
     const TimePoint start = m_system_clock.Now();
     const auto load_duration =
         std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
@@ -160,8 +176,14 @@
       RunIteration();
       SendDueRequests(m_system_clock.Now() - start);
       InjectFault();
+      WriteAgainIfDue();
     }
     ClearFaults();
+    LiftLimits();
+    for (const auto& [name, spec] : m_registrations) {
+      m_store.Put("servers", name, spec);
+    }
+    m_store.Put("config", "main", m_configuration);
     const TimePoint cleared_at = m_system_clock.Now();
     while (m_system_clock.Now() - cleared_at < kSettleDelay) RunIteration();
     for (int i = 0; i < absl::GetFlag(FLAGS_entries); ++i) {
@@ -172,9 +194,16 @@
   }
 
  private:
+  // An upstream that states a rate limit.
+  struct Limited {
+    emulation::RequestRate* rate = nullptr;
+    double limit = 0;
+    TimePoint since{};
+    TimePoint until{};
+  };
+
   void AddEngine(int i) {
-    const std::string target_address =
-        "127.0.2." + std::to_string(1 + i) + ":8080";
+    const std::string target_address = Host(2, 1 + i) + ":8080";
     ModelRunnerFake::Options options;
     options.address = target_address;
     options.role = i % kEnginesPerPrefill == 0 ? EngineRole::kPrefill
@@ -189,8 +218,7 @@
   }
 
   void AddPlain(int i) {
-    const std::string target_address =
-        "127.0.4." + std::to_string(1 + i) + ":8080";
+    const std::string target_address = Host(4, 1 + i) + ":8080";
     m_plain_services.push_back(std::make_unique<PlainRunnerFake>(
         target_address, &m_sockets, &m_queue, &m_manual_clock, &m_counts));
     m_proxies.push_back(
@@ -202,15 +230,78 @@
   void Register(const std::string& name, const std::string& service,
                 const std::string& host, const std::string& state,
                 const std::string& stage) {
-    json spec = {{"service", service},
-                 {"address", host + ":8080"},
-                 {"zone", "z"},
-                 {"slots", 64},
-                 {"state", state}};
+    json spec = {{"service", service}, {"address", host + ":8080"},
+                 {"zone", "z"},        {"slots", 64},
+                 {"state", state},     {"born", 1000},
+                 {"seq", ++m_writes}};
+    // An upstream that was leaving starts again.
+    if (m_registrations.contains(name) && state == "ready") {
+      spec["born"] = 1000 + m_writes;
+    }
     if (!stage.empty()) spec["stage"] = stage;
+    m_registrations[name] = spec;
     m_store.Put("servers", name, spec);
   }
 
+  // Restores the store; what is in force is written again a while later.
+  void RestoreStore() {
+    m_store.Restore();
+    ++m_restores;
+    m_write_again_at = m_system_clock.Now() + kWriteAgainDelay;
+  }
+
+  void WriteAgainIfDue() {
+    if (m_write_again_at == TimePoint() ||
+        m_system_clock.Now() < m_write_again_at) {
+      return;
+    }
+    m_write_again_at = TimePoint();
+    for (auto& [name, spec] : m_registrations) {
+      spec["seq"] = ++m_writes;
+      m_store.Put("servers", name, spec);
+    }
+    m_store.Put("config", "main", m_configuration);
+  }
+
+  // Has an upstream state a limit until the load ends.
+  void LimitUpstream() {
+    const size_t index =
+        m_random.UniformBelow(m_engines.size() + m_plain_services.size());
+    const bool plain = index >= m_engines.size();
+    emulation::RequestRate& rate =
+        plain ? m_plain_services[index - m_engines.size()]->Rate()
+              : m_engines[index]->Rate();
+    if (rate.Limit().has_value()) return;
+    rate.SetLimit((plain ? 2.0 : 0.5) * (1 + m_random.UniformDouble()));
+    m_limited.push_back({&rate, *rate.Limit(), m_manual_clock.Now()});
+  }
+
+  void LiftLimits() {
+    for (Limited& limited : m_limited) {
+      limited.rate->SetLimit(std::nullopt);
+      limited.until = m_manual_clock.Now();
+    }
+  }
+
+  // Requests by way of entries that were killed or paused do not count.
+  void CheckLimit(const Limited& limited) {
+    const auto counts = [&](const emulation::RequestRate::Arrival& arrival) {
+      const size_t index = std::stoul(arrival.request.substr(1));
+      return index >= m_callers.size() ||
+             !m_disturbed_entries.contains(m_callers[index]->entry);
+    };
+    const int64_t most = limited.rate->MostInWindow(
+        kLimitWindow, limited.since + kLimitSettleDelay, limited.until, counts);
+    const double window = std::chrono::duration<double>(kLimitWindow).count();
+    if (static_cast<double>(most) <=
+        kLimitSlackFactor * limited.limit * window + kLimitSlackRequests) {
+      return;
+    }
+    ++m_violations;
+    std::cout << "VIOLATION an upstream that states " << limited.limit
+              << " requests a second got " << most << " in 4 s\n";
+  }
+
   void RunIteration() {
     m_loop.WakeAfter(std::chrono::milliseconds(5));
     m_loop.RunOnce();
@@ -265,7 +356,7 @@
   void InjectFault() {
     if (m_random.UniformBelow(80) != 0) return;
     FaultProxy& proxy = *m_proxies[m_random.UniformBelow(m_proxies.size())];
-    switch (m_random.UniformBelow(13)) {
+    switch (m_random.UniformBelow(17)) {
       case 0:
         return proxy.CloseAll(/*reset=*/true);
       case 9:
@@ -289,6 +380,12 @@
             std::chrono::milliseconds(m_random.UniformBelow(400)));
       case 8:
         return ChangeConfiguration();
+      case 10:
+        return m_store.SaveCopy();
+      case 11:
+        return RestoreStore();
+      case 12:
+        return LimitUpstream();
       default:
         return ClearFaults();
     }
@@ -365,6 +462,7 @@
   int CheckResults() {
     ReadSignals();
     for (const auto& caller : m_callers) CheckCaller(*caller);
+    for (const Limited& limited : m_limited) CheckLimit(limited);
     int64_t held_tokens = 0;
     for (const auto& engine : m_engines) held_tokens += engine->MemoryUsed();
     if (held_tokens > 0 || !m_handles.empty()) {
@@ -378,7 +476,8 @@
     }
     std::cout << "seed " << absl::GetFlag(FLAGS_seed) << ": "
               << m_callers.size() << " requests, " << m_served_count
-              << " served, " << m_violations << " violations\n";
+              << " served, " << m_limited.size() << " limits, " << m_restores
+              << " restores, " << m_violations << " violations\n";
     return m_violations == 0 ? 0 : 1;
   }
 
@@ -396,6 +495,12 @@
   emulation::RunnerCounters m_counts;
   Store m_store;
   uint64_t m_version = 0;
+  // As upstreams and operators have written them last.
+  std::map<std::string, json> m_registrations;
+  json m_configuration;
+  int64_t m_writes = 0;
+  TimePoint m_write_again_at{};
+  std::vector<Limited> m_limited;
   std::vector<std::unique_ptr<ModelRunnerFake>> m_engines;
   std::vector<std::unique_ptr<PlainRunnerFake>> m_plain_services;
   std::vector<std::unique_ptr<FaultProxy>> m_proxies;
@@ -403,6 +508,7 @@
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::set<int> m_disturbed_entries;  // That were killed or paused.
   int m_served_count = 0;
+  int m_restores = 0;
   int m_violations = 0;
 };
 
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -48,6 +48,16 @@
   m_changes.clear();
 }
 
+void Store::Restore() {
+  ++m_era;
+  m_objects = m_copy.objects;
+  m_revision = m_copy.revision;
+  m_oldest_watch_revision = 0;
+  std::erase_if(m_changes, [this](const Change& change) {
+    return change.revision > m_revision;
+  });
+}
+
 void Store::OnRequest(http::ExchangeId id, http::Head head,
                       std::string /*body*/) {
   if (m_outage == Outage::kSilent) return;
@@ -69,7 +79,7 @@
 
 bool Store::AnswerWatch(http::ExchangeId id, const Watch& watch,
                         bool is_expired) {
-  if (watch.since < m_oldest_watch_revision) {
+  if (watch.since < m_oldest_watch_revision || watch.since > m_revision) {
     Respond(id, kGone, json::object());
     return true;
   }
@@ -98,6 +108,7 @@
   http::Head head;
   head.status = status;
   head.headers.Add("Content-Type", "application/json");
+  head.headers.Add("Store-Era", std::to_string(m_era));
   m_server.Respond(id, head, body.dump());
 }
 
--- a/soak/store.h
+++ b/soak/store.h
@@ -11,7 +11,7 @@
 namespace burdockhill::soak {
 
 // The read side of the platform's store over HTTP: lists and long-polled
-// watches, with outages and discarded change history.
+// watches, with outages, discarded change history and restores from a copy.
 class Store : public http::ServerEvents {
  public:
   // kErrors answers everything with 503, kSilent does not answer.
@@ -26,6 +26,11 @@
   // Discards the change history: watches from an older revision get status 410.
   void DiscardHistory();
 
+  // Keeps a copy of the objects.
+  void SaveCopy() { m_copy = {m_objects, m_revision}; }
+  // Restores the objects and the revision of the copy, and begins an era.
+  void Restore();
+
   // Answers watches that have changes or have expired. Call once per event-loop
   // iteration.
   void Tick();
@@ -56,7 +61,14 @@
   Outage m_outage = Outage::kNone;
   uint64_t m_revision = 1;
   uint64_t m_oldest_watch_revision = 0;
-  std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+  using Objects = std::map<std::string, std::map<std::string, nlohmann::json>>;
+  struct Copy {
+    Objects objects;
+    uint64_t revision = 1;
+  };
+  uint64_t m_era = 1;
+  Objects m_objects;
+  Copy m_copy;
   std::vector<Change> m_changes;
   std::map<http::ExchangeId, Watch> m_watches;
 };
