Entries that were refused a permit ask again in turn

Cause: all entries were told the time of the next permit, and asked at that time all together, so that the messages to a coordinator grew as entries times permits.

The coordinator gives each refused entry a turn of its own, at the rate of the limit, and at most about two seconds later.

--- a/burdockhill/src/gateway/upstream_permits.cc
+++ b/burdockhill/src/gateway/upstream_permits.cc
@@ -21,6 +21,9 @@
 // Part of the even share that entries without a coordinator use. What they
 // send comes at random and at times in clusters.
 constexpr double kUncoordinatedPart = 0.75;
+// An entry that was refused a permit asks again after about this time at the
+// latest, as the others may need none any more.
+constexpr Duration kMaxAskInterval = std::chrono::seconds(2);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 
 }  // namespace
@@ -81,13 +84,18 @@
                                                   Duration max_wait) {
   const TimePoint now = m_board->clock->Now();
   if (!IsNeeded(upstream)) return {true, Duration(0)};
-  PermitSchedule& schedule =
-      m_schedules.try_emplace(upstream, PermitSchedule::Unused::kKeepOne, now)
-          .first->second;
-  schedule.SetRate(
-      RateOf(upstream) * m_coordinators.ShareOfLimit(upstream, now), now);
-  const std::optional<Duration> wait = schedule.Take(max_wait, now);
-  return {wait.has_value(), wait.value_or(schedule.TimeUntilNext(now))};
+  Schedules& schedules = m_schedules.try_emplace(upstream, now).first->second;
+  const double rate =
+      RateOf(upstream) * m_coordinators.ShareOfLimit(upstream, now);
+  schedules.permits.SetRate(rate, now);
+  schedules.returns.SetRate(rate, now);
+  const std::optional<Duration> wait = schedules.permits.Take(max_wait, now);
+  if (wait.has_value()) return {true, *wait};
+  // Those that are refused ask again one after the other, so that not all of
+  // them ask for each permit.
+  const Duration turn = schedules.returns.Take(kMaxAskInterval, now)
+                            .value_or(m_board->random->Jitter(kMaxAskInterval));
+  return {false, std::max(schedules.permits.TimeUntilNext(now), turn)};
 }
 
 UpstreamPermits::Decision UpstreamPermits::DecideAlone(
--- a/burdockhill/src/gateway/upstream_permits.h
+++ b/burdockhill/src/gateway/upstream_permits.h
@@ -51,8 +51,9 @@
   bool IsNeeded(const UpstreamName& upstream) const {
     return m_board->rate_limits.Find(upstream).has_value();
   }
-  // Asks for a permit that can be used within `max_wait`. Exactly one event
-  // follows after this call has returned, unless the request is cancelled.
+  // Asks for a permit that can be used within `max_wait`, which is zero if
+  // another upstream takes the request at once. Exactly one event follows after
+  // this call has returned, unless the request is cancelled.
   PermitId Request(const UpstreamName& upstream, Duration max_wait,
                    PermitEvents* events);
   // Ignored if the request is not open any more.
@@ -89,6 +90,15 @@
     bool granted = false;
     Duration wait{0};  // See PermitAnswer.
   };
+  // Of an upstream for which this entry is the coordinator.
+  struct Schedules {
+    explicit Schedules(TimePoint now)
+        : permits(PermitSchedule::Unused::kKeepOne, now),
+          returns(PermitSchedule::Unused::kKeepOne, now) {}
+    PermitSchedule permits;
+    // When those that got no permit may ask again.
+    PermitSchedule returns;
+  };
 
   // Asks the coordinator, or decides if that is this entry or there is none.
   void Dispatch(PermitId id, PendingRequest* request);
@@ -116,7 +126,7 @@
   std::set<VmName> m_entries;  // Connected ones.
   uint64_t m_last_id = 0;
   Table<PermitId, PendingRequest> m_requests;
-  std::map<UpstreamName, PermitSchedule> m_schedules;   // As coordinator.
+  std::map<UpstreamName, Schedules> m_schedules;        // As coordinator.
   std::map<UpstreamName, PermitSchedule> m_own_shares;  // Without coordinator.
   // Until when no permit is to be had.
   std::map<UpstreamName, TimePoint> m_exhausted_until;
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -286,8 +286,8 @@
 struct PermitAnswer {
   uint64_t id = 0;
   bool granted = false;
-  // Until the permit may be used, or, if it is not granted, until the next one
-  // may be.
+  // Until the permit may be used, or, if it is not granted, until one may be
+  // that the entry can ask for.
   Duration wait{0};
   uint32_t entries = 0;  // That the coordinator knows.
 };
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -231,6 +231,9 @@
 
 void DeploymentLink::Send(const VmName& vm, Message message) {
   GatewayDeployment* owner = m_deployment;
+  if (std::holds_alternative<PermitRequest>(message)) {
+    ++owner->m_permit_requests;
+  }
   owner->m_queue.Schedule(
       kNetworkDelay, [owner, vm, from = m_self.vm, sent = std::move(message)] {
         if (owner->IsCut(from, vm)) return;
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -124,6 +124,8 @@
   RequestRate& PlainRate(int index) { return m_plain.at(index)->Rate(); }
   PlainRunnerFake& Plain(int index) { return *m_plain.at(index); }
   RequestRate& RunnerRate(int index) { return m_runners.at(index)->Rate(); }
+  // Messages between entries that ask for a permit.
+  int64_t PermitRequestCount() const { return m_permit_requests; }
   Random& Randomness() { return m_random; }
   int EntryCount() const { return static_cast<int>(m_entries.size()); }
 
@@ -171,6 +173,7 @@
   // Connections between entries that one side dials again when they are lost,
   // by the dialled VM.
   std::map<VmName, std::set<VmName>> m_dialled_by;
+  int64_t m_permit_requests = 0;
   std::set<VmName> m_cut;
   std::set<VmName> m_frozen;
   struct HeldMessage {
--- a/tests/gateway_test_rate_limits.cc
+++ b/tests/gateway_test_rate_limits.cc
@@ -183,6 +183,25 @@
                  .c_str());
 }
 
+TEST(RateLimits, PermitsCostFewMessages) {
+  GatewayDeployment::Options options;
+  options.entries = 340;
+  options.plain_upstreams = 1;
+  GatewayDeployment deployment(options);
+  deployment.PlainRate(0).SetLimit(5);
+  const auto any = [&] {
+    return static_cast<int>(deployment.Randomness().UniformBelow(340));
+  };
+  deployment.GeneratePlainLoad(1500, seconds(2), any);
+  const int64_t before = deployment.PermitRequestCount();
+  const TimePoint start = deployment.Now();
+  deployment.GeneratePlainLoad(1500, seconds(4), any);
+  CheckUsed(deployment.PlainRate(0), 5, start, deployment.Now());
+  // Each entry asks once in two seconds; 340 entries ask for 5 permits.
+  const int64_t asked = deployment.PermitRequestCount() - before;
+  CHECK_TEXT(asked <= 4 * 340, std::to_string(asked).c_str());
+}
+
 TEST(RateLimits, RetriesCountAgainstTheLimitOfTheUpstreamThatTheyReach) {
   GatewayDeployment::Options options;
   options.entries = 6;
