Every call of a stream after its first is paid from the retry budget

Cause: a prefill call counts as an arrival unless an engine has computed the prompt, so that after a rejected one the decode call is a retry. It was sent without asking the retry budget, also when the budget had just refused a further prefill call: a request whose three prefill calls had failed made a fourth arrival that nobody had allowed.

Test ARejectedPrefillIsNotFollowedByACallBeyondTheRetryBudget failed before.

Fix: StreamCallCount counts the calls of a stream as upstreams do; before a call, each retry so far is paid, and before a further prefill also the decode call that follows it, so that no prompt is computed in vain. What the budget does not allow is refused at once.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -228,11 +228,11 @@
 
 void StreamCalls::ReservePrefillEngine(Stream* stream) {
   const RoutedRequest& routed = stream->routed;
-  const TimePoint now = m_board->clock->Now();
-  // Only prefill calls after the first one count as retries.
-  const bool allowed = stream->prefill_calls == 0 ||
-                       (stream->prefill_calls < kMaxPrefillCalls &&
-                        m_board->retry_budget.TrySpend(routed.service, now));
+  const bool allowed = stream->prefill_calls < kMaxPrefillCalls &&
+                       PayForRetries(stream, stream->calls.DueBeforePrefill());
+  if (!allowed && !PayForRetries(stream, stream->calls.DueBeforeDecode())) {
+    return FailUnpaid(stream);
+  }
   stream->phase = Phase::kReservingPrefill;
   stream->prefill_attempt = m_reservations->NewAttempt(routed.request.id);
   m_exchanges_by_attempt.FindOrInsert(stream->prefill_attempt, routed.exchange);
@@ -262,6 +262,21 @@
   m_reservations->Reserve(stream->prefill_attempt, requirement);
 }
 
+bool StreamCalls::PayForRetries(Stream* stream, int retries) {
+  const bool paid = m_board->retry_budget.TrySpend(
+      stream->routed.service, m_board->clock->Now(), retries);
+  if (paid) stream->calls.RecordPaid(retries);
+  return paid;
+}
+
+void StreamCalls::FailUnpaid(Stream* stream) {
+  constexpr std::string_view kReason = "the retry budget is spent";
+  if (stream->may_have_run) {
+    return FailUnknown(stream, ErrorKind::kUpstreamFailed, kReason);
+  }
+  FailOverloaded(stream, Duration(0), kReason);
+}
+
 LocalPrefill StreamCalls::DecideLocalPrefill(const Stream& stream) const {
   return LocalPrefillFor(stream.routed.route,
                          stream.routed.request.prompt_tokens,
@@ -286,6 +301,7 @@
 void StreamCalls::StartPrefill(Stream* stream) {
   if (RefuseIfBarred(stream)) return;
   ++stream->prefill_calls;
+  stream->calls.BeginPrefill();
   const RegisteredUpstream* upstream =
       m_board->upstreams.Find(stream->prefill_engine);
   if (upstream == nullptr || upstream->leaving) {
@@ -316,6 +332,9 @@
   if (upstream == nullptr || upstream->leaving) {
     return OnDecodeRejected(stream, "engine is leaving");
   }
+  if (!PayForRetries(stream, stream->calls.DueBeforeDecode())) {
+    return FailUnpaid(stream);
+  }
   if (!std::exchange(stream->has_decode_permit, false) &&
       AwaitPermit(stream, stream->decode_engine, Phase::kAwaitingCallPermit,
                   StreamStage::kPrefillReservation)) {
@@ -323,6 +342,7 @@
   }
   stream->phase = Phase::kDecoding;
   ++stream->decode_calls;
+  stream->calls.BeginDecode();
   UpstreamCall call;
   call.purpose = CallPurpose::kDecode;
   call.priority = EnginePriority(routed.route);
@@ -458,6 +478,7 @@
         stream, /*was_sent=*/true,
         "prefill status " + std::to_string(stream->response_head.status));
   }
+  stream->calls.RecordPrefillDone();
   m_prefill_rate.AddSample(stream->routed.request.prompt_tokens,
                            m_board->clock->Now() - stream->call_started_at);
   stream->kv = m_board->codec->DecodePrefill(*upstream, stream->response_body);
@@ -480,7 +501,10 @@
   }
   ReleasePrefill(stream);
   stream->excluded_prefill_engines.insert(stream->prefill_engine);
-  if (!was_sent) --stream->prefill_calls;
+  if (!was_sent) {
+    --stream->prefill_calls;
+    stream->calls.RecordNotSent();
+  }
   ReservePrefillEngine(stream);
 }
 
@@ -525,7 +549,7 @@
   ReleaseAttempt(stream);
   const bool may_retry = stream->decode_calls < kMaxDecodeCalls &&
                          now < routed.deadline &&
-                         m_board->retry_budget.TrySpend(routed.service, now);
+                         PayForRetries(stream, stream->calls.DueBeforeDecode());
   if (may_retry) return ReserveDecodeEngine(stream);
   if (stream->may_have_run) {
     return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
@@ -544,7 +568,7 @@
   m_reservations->RecordFailure(stream->prefill_engine);
   stream->excluded_prefill_engines.insert(stream->prefill_engine);
   if (stream->decode_calls >= kMaxDecodeCalls || now >= routed.deadline ||
-      !m_board->retry_budget.TrySpend(routed.service, now)) {
+      !PayForRetries(stream, stream->calls.DueBeforeDecode())) {
     return OnDecodeRejected(stream, "KV cache is gone");
   }
   // A short prompt is computed by the decode engine, which takes one call
@@ -563,6 +587,7 @@
     return OnPrefillFailed(stream, !not_sent, "connection failed");
   }
   if (not_sent) {
+    stream->calls.RecordNotSent();
     m_reservations->RecordUnreachable(stream->decode_engine);
     m_board->poison_detector.RecordUnreachable(stream->decode_engine,
                                                m_board->clock->Now());
@@ -593,7 +618,7 @@
   const bool retry = routed.route.kind == RequestKind::kResumableStream &&
                      stream->decode_calls < kMaxDecodeCalls &&
                      now < routed.deadline && !IsBarred(m_board, routed) &&
-                     m_board->retry_budget.TrySpend(routed.service, now);
+                     PayForRetries(stream, stream->calls.DueBeforeDecode());
   if (!retry) return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
   stream->caller_waiting_since = now;
   m_board->log->Write("stream_resumed", {{"request", routed.request.id},
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -12,6 +12,7 @@
 #include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/routing/stream_budget.h"
+#include "burdockhill/src/routing/stream_call_count.h"
 
 namespace burdockhill {
 
@@ -71,6 +72,7 @@
     std::set<UpstreamName> excluded_decode_engines;
     std::set<UpstreamName> excluded_prefill_engines;
     std::optional<KvLocation> kv_in_call;  // Passed in the current decode call.
+    StreamCallCount calls;
     int prefill_calls = 0;
     int decode_calls = 0;
     bool may_have_run = false;
@@ -109,6 +111,10 @@
   // Whether another engine of the role of this one has no rate limit.
   bool HasUnlimitedEngine(const UpstreamName& engine,
                           const std::set<UpstreamName>& excluded) const;
+  // Takes this many retries from the retry budget; false if it has fewer.
+  bool PayForRetries(Stream* stream, int retries);
+  // Ends the stream because the retry budget does not allow a further call.
+  void FailUnpaid(Stream* stream);
   StageBudget BudgetFor(const Stream& stream, StreamStage stage) const;
   void ReserveDecodeEngine(Stream* stream);
   // Reserves capacity on a prefill engine, or on the decode engine for
--- a/burdockhill/src/routing/retry_budget.cc
+++ b/burdockhill/src/routing/retry_budget.cc
@@ -22,13 +22,18 @@
   CurrentWindow(service, now).requests.push_back(now);
 }
 
-bool RetryBudget::TrySpend(const ServiceName& service, TimePoint now) {
+bool RetryBudget::TrySpend(const ServiceName& service, TimePoint now,
+                           int retries) {
+  if (retries == 0) return true;
   Window& window = CurrentWindow(service, now);
   const double allowed =
       m_limits.ratio * static_cast<double>(window.requests.size()) +
       m_limits.reserve;
-  if (static_cast<double>(window.retries.size()) + 1 > allowed) return false;
-  window.retries.push_back(now);
+  if (static_cast<double>(window.retries.size()) + retries > allowed) {
+    return false;
+  }
+  window.retries.insert(window.retries.end(), static_cast<size_t>(retries),
+                        now);
   return true;
 }
 
--- a/burdockhill/src/routing/retry_budget.h
+++ b/burdockhill/src/routing/retry_budget.h
@@ -26,9 +26,9 @@
 
   // Records that a caller's request for the service was accepted for routing.
   void CountRequest(const ServiceName& service, TimePoint now);
-  // Records one retry and returns true, or returns false if the budget is
-  // spent.
-  bool TrySpend(const ServiceName& service, TimePoint now);
+  // Records the retries and returns true, or returns false if the budget does
+  // not allow all of them.
+  bool TrySpend(const ServiceName& service, TimePoint now, int retries = 1);
 
  private:
   struct Window {
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -362,3 +362,29 @@
                                           "X-Prompt-Prefix: a:200,5:4500\r\n");
   CHECK(decode.IsValid());
 }
+
+TEST(Streams, ARejectedPrefillIsNotFollowedByACallBeyondTheRetryBudget) {
+  while (m_board.retry_budget.TrySpend(ServiceName("llm"), m_clock.Now())) {
+  }
+  const SocketId caller = Post("/stream/x");
+  CHECK(GrantLatest<ReserveDecode>());
+  CHECK(GrantLatest<ReservePrefill>());
+  m_sockets.Inject(EstablishTo(kPrefill),
+                   HttpResponse(421, "X-Request-Id: r1\r\n", ""));
+  AdvanceTime(milliseconds(100));
+  GrantLatest<ReservePrefill>();
+  CHECK_FALSE(EstablishTo(kDecodeOne).IsValid());
+  CHECK_FALSE(EstablishTo(kDecodeTwo).IsValid());
+  const std::string response = m_sockets.DrainOutput(caller);
+  STRCMP_CONTAINS("503", response.c_str());
+  STRCMP_CONTAINS("Retry-After", response.c_str());
+  CHECK(m_gateway.IsIdle());
+}
+
+TEST(Streams, APrefillThatSucceededLeavesTheDecodeCallFree) {
+  while (m_board.retry_budget.TrySpend(ServiceName("llm"), m_clock.Now())) {
+  }
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/stream/x", &caller);
+  CHECK(decode.IsValid());
+}
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -60,6 +60,46 @@
   CHECK(counts["light"] > 800 && counts["light"] < 1200);
 }
 
+TEST_GROUP(StreamCallCount) { StreamCallCount m_calls; };
+
+TEST(StreamCallCount, APrefillThatSucceedsAndADecodeAreNoRetries) {
+  LONGS_EQUAL(0, m_calls.DueBeforePrefill());
+  m_calls.BeginPrefill();
+  m_calls.RecordPrefillDone();
+  LONGS_EQUAL(0, m_calls.DueBeforeDecode());
+}
+
+TEST(StreamCallCount, EveryCallAfterARejectedPrefillIsARetry) {
+  m_calls.BeginPrefill();
+  LONGS_EQUAL(1, m_calls.DueBeforeDecode());
+  LONGS_EQUAL(1, m_calls.DueBeforePrefill());
+  m_calls.RecordPaid(1);
+  m_calls.BeginPrefill();
+  m_calls.RecordPrefillDone();
+  LONGS_EQUAL(0, m_calls.DueBeforeDecode());
+}
+
+TEST(StreamCallCount, AStreamThatBreaksOffPaysForPrefillAndDecode) {
+  m_calls.BeginPrefill();
+  m_calls.RecordPrefillDone();
+  m_calls.BeginDecode();
+  LONGS_EQUAL(1, m_calls.DueBeforeDecode());
+  LONGS_EQUAL(2, m_calls.DueBeforePrefill());
+  m_calls.RecordPaid(2);
+  m_calls.BeginPrefill();
+  m_calls.RecordPrefillDone();
+  LONGS_EQUAL(0, m_calls.DueBeforeDecode());
+}
+
+TEST(StreamCallCount, CallsThatWereNotSentAreFree) {
+  m_calls.BeginPrefill();
+  m_calls.RecordNotSent();
+  LONGS_EQUAL(0, m_calls.DueBeforePrefill());
+  m_calls.BeginDecode();
+  m_calls.RecordNotSent();
+  LONGS_EQUAL(0, m_calls.DueBeforeDecode());
+}
+
 TEST_GROUP(UpstreamDirectory) {
   TimePoint m_now{seconds(100)};
   UpstreamDirectory m_directory;
