A configuration written after a restore of the store comes into force

What operators would see: a change that the store has confirmed is refused or never in force. Cause: the coordinator numbered generations by what the store holds. A copy lacks the latest ones, so that the next change got the number of a generation that entries already had in force, and they ignored it; watches went on from a revision that the copy does not have.

Evidence: AConfigurationWrittenAfterARestoreOfTheStoreIsInForce failed before: after three changes, a restore and a fourth, the entries stayed at the third.

Fix: a new generation is higher than any that a live VM reports as staged or in force. The store never gives out a version twice (docs/platform-api.md; the model counts eras), so that conditional updates from before fail, and tells watches that their history is gone, upon which entries and coordinator read everything again.

--- a/burdockhill/src/adapters/platform_client.cc
+++ b/burdockhill/src/adapters/platform_client.cc
@@ -18,6 +18,7 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpConflict = 409;
+constexpr int kHttpGone = 410;
 
 std::string ObjectPath(const ResourceKey& key) {
   return "/v1/objects/" + key.kind + "/" + key.name;
@@ -28,6 +29,7 @@
   if (http_status == kHttpOk) return StoreStatus::kOk;
   if (http_status == kHttpNotFound) return StoreStatus::kNotFound;
   if (http_status == kHttpConflict) return StoreStatus::kConflict;
+  if (http_status == kHttpGone) return StoreStatus::kHistoryGone;
   return StoreStatus::kUnavailable;
 }
 
--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -62,14 +62,18 @@
   UpdateRollout();
 }
 
-void ConfigurationCoordinator::BeginTerm() {
-  m_term = m_lease.Term();
+void ConfigurationCoordinator::ForgetStore() {
   m_state_known = false;
   m_accepted_known = false;
   m_has_full_list = false;
   m_revision = 0;
   m_writes.clear();
   m_phase = Phase::kIdle;
+}
+
+void ConfigurationCoordinator::BeginTerm() {
+  m_term = m_lease.Term();
+  ForgetStore();
   m_watching = false;
   m_reading_state = false;
 }
@@ -138,6 +142,7 @@
         if (status == StoreStatus::kOk) {
           return OnResources(changes, since, revision);
         }
+        if (status == StoreStatus::kHistoryGone) return ForgetStore();
         m_next_watch = m_board->now + m_board->random->Jitter(kStoreRetryDelay);
       }));
 }
@@ -243,7 +248,7 @@
 
 void ConfigurationCoordinator::Publish(const std::string& content) {
   m_phase = Phase::kPublishing;
-  const Generation generation(++m_last_generation);
+  const Generation generation = NextGeneration();
   m_store->Put(
       ConfigurationContentKey(generation), content, 0,
       BindToTerm([this, generation](StoreStatus status, uint64_t /*version*/) {
@@ -263,6 +268,16 @@
       }));
 }
 
+Generation ConfigurationCoordinator::NextGeneration() {
+  uint64_t highest = std::max(m_last_generation, m_board->in_force.Value());
+  for (const auto& [vm, reported] : m_board->generations) {
+    highest =
+        std::max({highest, reported.staged.Value(), reported.in_force.Value()});
+  }
+  m_last_generation = highest + 1;
+  return Generation(m_last_generation);
+}
+
 void ConfigurationCoordinator::CheckStaged() {
   const std::vector<VmName> missing = FindLiveVmsBehind(m_state.staged, false);
   if (missing.empty()) return AcceptStaged();
--- a/burdockhill/src/entry/configuration_coordinator.h
+++ b/burdockhill/src/entry/configuration_coordinator.h
@@ -59,6 +59,11 @@
 
   // Discards the state of an earlier term.
   void BeginTerm();
+  // Discards what was read from a store that was restored since.
+  void ForgetStore();
+  // A generation that no entry has in force or staged, also if the store has
+  // lost them.
+  Generation NextGeneration();
 
   // Reading the store.
   void WatchResources();
--- a/burdockhill/src/entry/entry_configuration.cc
+++ b/burdockhill/src/entry/entry_configuration.cc
@@ -68,6 +68,10 @@
       [this](StoreStatus status, const std::vector<StoredObject>& changes,
              uint64_t revision) {
         m_watching = false;
+        if (status == StoreStatus::kHistoryGone) {
+          m_revision = 0;
+          return;
+        }
         if (status != StoreStatus::kOk) {
           m_watch_backoff = std::clamp(m_watch_backoff * 2, kMinWatchBackoff,
                                        kMaxWatchBackoff);
--- a/burdockhill/src/store/object_store.h
+++ b/burdockhill/src/store/object_store.h
@@ -16,7 +16,8 @@
 inline constexpr size_t kMaxObjectBytes = size_t{1} << 20;
 
 // An object of the store. The versions of all objects come from one increasing
-// sequence, the revision of the store.
+// sequence, the revision of the store. A store that was restored from a copy
+// gives out higher ones than before, also to the objects of the copy.
 struct StoredObject {
   ResourceKey key;
   uint64_t version = 0;
@@ -28,6 +29,7 @@
   kOk,
   kConflict,  // The object does not have the expected version.
   kNotFound,
+  kHistoryGone,  // The changes since that revision are not known.
   kUnavailable,  // No valid response. A write may have been applied.
 };
 
@@ -64,7 +66,8 @@
   virtual void Delete(const ResourceKey& key, uint64_t expected_version,
                       PutDone done) = 0;
   // Waits up to half a minute for changes of objects of `kinds` after revision
-  // `since`. With `since` 0, returns all objects without waiting.
+  // `since`. With `since` 0, returns all objects without waiting. Fails with
+  // kHistoryGone if the store was restored from a copy since.
   virtual void Watch(const std::vector<std::string>& kinds, uint64_t since,
                      WatchDone done) = 0;
   virtual void ListVms(ListDone done) = 0;
--- a/emulation/store_fake.cc
+++ b/emulation/store_fake.cc
@@ -40,6 +40,13 @@
 void PlatformFake::CompleteWatches() {
   for (auto watch = m_pending_watches.begin();
        watch != m_pending_watches.end();) {
+    if (!m_model.HasHistorySince(watch->since) && !m_faults.outage) {
+      m_queue->Schedule(kCallDelay, [done = std::move(watch->done)] {
+        done(StoreStatus::kHistoryGone, {}, 0);
+      });
+      watch = m_pending_watches.erase(watch);
+      continue;
+    }
     const bool is_expired = m_clock->Now() >= watch->deadline;
     const auto changes = m_model.ChangesSince(watch->kinds, watch->since);
     const bool has_changes = watch->since == 0 || !changes.empty();
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -17,6 +17,7 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusConflict = 409;
+constexpr int kStatusGone = 410;
 constexpr int kStatusTooManyRequests = 429;
 constexpr double kDefaultWritesPerSecond = 400.0;
 constexpr double kDefaultReadsPerSecond = 2000.0;
@@ -188,6 +189,10 @@
   }
 
   bool AnswerWatch(const PendingWatch& poll, TimePoint now) {
+    if (!m_model.HasHistorySince(poll.since)) {
+      RespondJson(m_server.get(), poll.id, kStatusGone, json::object());
+      return true;
+    }
     const std::vector<StoredObject> changes =
         poll.since >= m_model.Revision() && poll.since != 0
             ? std::vector<StoredObject>()
@@ -213,6 +218,10 @@
       m_request_delay = std::chrono::milliseconds(int_parameter("ms"));
     } else if (request.path == "/admin/lose-answers") {
       m_answers_to_lose = int_parameter("count");
+    } else if (request.path == "/admin/copy") {
+      m_copy = m_model;
+    } else if (request.path == "/admin/restore") {
+      m_model.Restore(m_copy);
     } else if (request.path == "/admin/vm") {
       ChangeVm(request.query);
     }
@@ -245,6 +254,7 @@
   TimePoint m_vms_listed_at{};
   std::unique_ptr<HttpServer> m_server;
   PlatformModel m_model;
+  PlatformModel m_copy;  // To restore the model from.
   RateLimit m_write_limit;
   RateLimit m_read_limit;
   bool m_is_down = false;
--- a/standins/platform_model.cc
+++ b/standins/platform_model.cc
@@ -11,6 +11,7 @@
     return StoreStatus::kNotFound;
   }
   *object = found->second;
+  object->version = InEra(object->version);
   return StoreStatus::kOk;
 }
 
@@ -19,9 +20,9 @@
   const auto found = m_objects.find(key);
   const bool exists = found != m_objects.end() && !found->second.deleted;
   const uint64_t current = exists ? found->second.version : 0;
-  if (current != expected_version) return StoreStatus::kConflict;
-  *version = ++m_revision;
-  m_objects[key] = {key, *version, value, false};
+  if (InEra(current) != expected_version) return StoreStatus::kConflict;
+  m_objects[key] = {key, ++m_revision, value, false};
+  *version = InEra(m_revision);
   return StoreStatus::kOk;
 }
 
@@ -32,11 +33,12 @@
   if (found == m_objects.end() || found->second.deleted) {
     return StoreStatus::kNotFound;
   }
-  if (expected_version != 0 && found->second.version != expected_version) {
+  if (expected_version != 0 &&
+      InEra(found->second.version) != expected_version) {
     return StoreStatus::kConflict;
   }
-  *version = ++m_revision;
-  found->second = {key, *version, {}, true};
+  found->second = {key, ++m_revision, {}, true};
+  *version = InEra(m_revision);
   return StoreStatus::kOk;
 }
 
@@ -46,11 +48,22 @@
   for (const auto& [key, object] : m_objects) {
     const bool wanted =
         std::find(kinds.begin(), kinds.end(), key.kind) != kinds.end();
-    if (!wanted || object.version <= since) continue;
+    if (!wanted || InEra(object.version) <= since) continue;
     if (since == 0 && object.deleted) continue;
     changes.push_back(object);
+    changes.back().version = InEra(object.version);
   }
   return changes;
 }
 
+bool PlatformModel::HasHistorySince(uint64_t since) const {
+  return since == 0 || since >> kEraShift == m_era;
+}
+
+void PlatformModel::Restore(const PlatformModel& copy) {
+  const uint64_t era = m_era + 1;
+  *this = copy;
+  m_era = era;
+}
+
 }  // namespace burdockhill::standins
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -164,3 +164,32 @@
   CHECK(view.error->outcome == burdockhill::Outcome::kUnknown);
   CheckAtRestAfterFaults();
 }
+
+TEST(Failures, AConfigurationWrittenAfterARestoreOfTheStoreIsInForce) {
+  const auto write_policy = [&](int milliseconds_limit) {
+    deployment.WriteResource("RoutingPolicy", "default",
+                             R"({"first_token_limit_ms":)" +
+                                 std::to_string(milliseconds_limit) + "}");
+  };
+  auto& model = deployment.Platform().Model();
+  deployment.RunFor(seconds(3));
+  const auto copy = model;
+  for (const int limit : {4100, 4200, 4300}) {
+    write_policy(limit);
+    deployment.RunFor(seconds(4));
+  }
+  const auto former = deployment.Entries()[0]->Core()->Board().in_force;
+  model.Restore(copy);
+  deployment.RunFor(seconds(2));
+  for (const auto& entry : deployment.Entries()) {
+    CHECK(entry->Core()->Board().in_force >= former);
+  }
+  write_policy(4400);
+  deployment.RunFor(seconds(20));
+  for (const auto& entry : deployment.Entries()) {
+    const auto& board = entry->Core()->Board();
+    CHECK(board.in_force > former);
+    STRCMP_CONTAINS("4400", board.in_force_content->Text().c_str());
+  }
+  CheckAtRestAfterFaults();
+}
