Entries ask peers for the configuration apart from the registrations

An entry that starts with a restored store and without a list of upstreams asked its peers for the list first, and waited half a second more for the configuration, since both requests shared one interval. Seen in the test of an entry that starts with a restored store, which needed 1.2 s instead of 0.75 s.

--- a/burdockhill/src/gateway/peer_relay.cc
+++ b/burdockhill/src/gateway/peer_relay.cc
@@ -90,21 +90,29 @@
       m_peers->Send(vm, ConfigurationOffer{CurrentGeneration(), true, ""});
     }
   }
-  if (now < m_next_request_at) return;
+  RequestConfiguration(now);
+  RequestRegistrations(now);
+}
+
+void PeerRelay::RequestConfiguration(TimePoint now) {
   const bool is_behind = m_newest_peer_generation > CurrentGeneration() &&
                          m_behind_since != TimePoint() &&
                          now - m_behind_since >= kStoreGracePeriod;
+  if (!is_behind || now < m_next_configuration_request_at) return;
+  m_next_configuration_request_at = now + kRequestInterval;
+  m_peers->Send(m_newest_peer,
+                ConfigurationOffer{CurrentGeneration(), false, ""});
+}
+
+void PeerRelay::RequestRegistrations(TimePoint now) {
   const bool needs_upstreams =
       !m_upstreams->HasList() && now - m_started_at >= kStoreGracePeriod;
-  if (!is_behind && !needs_upstreams) return;
-  m_next_request_at = now + kRequestInterval;
-  if (is_behind) {
-    m_peers->Send(m_newest_peer,
-                  ConfigurationOffer{CurrentGeneration(), false, ""});
-  }
-  if (needs_upstreams && !m_entries.empty()) {
-    m_peers->Send(*m_entries.begin(), Registrations{true, 0, {}});
+  if (!needs_upstreams || m_entries.empty() ||
+      now < m_next_registrations_request_at) {
+    return;
   }
+  m_next_registrations_request_at = now + kRequestInterval;
+  m_peers->Send(*m_entries.begin(), Registrations{true, {}, {}});
 }
 
 void PeerRelay::OnPeerUp(const Hello& peer) {
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -60,6 +60,8 @@
   void OnMessage(const VmName& from, const Message& message) override;
 
  private:
+  void RequestConfiguration(TimePoint now);
+  void RequestRegistrations(TimePoint now);
   void HandleOffer(const VmName& from, const ConfigurationOffer& offer);
   void HandleRegistrations(const VmName& from, const Registrations& message);
   void HandleCrashNotice(const VmName& from, const CrashNotice& notice);
@@ -88,7 +90,8 @@
   VmName m_newest_peer;                 // That peer.
   TimePoint m_behind_since{};
   TimePoint m_next_offer_at{};
-  TimePoint m_next_request_at{};
+  TimePoint m_next_configuration_request_at{};
+  TimePoint m_next_registrations_request_at{};
   TimePoint m_started_at{};
 };
 
