Entries without a coordinator use half of their even share; slow networks tested

On a network that delays some messages beyond the time in which a coordinator has to answer, an entry asks the other seeds and then uses its share alone, so that a limit may be handed out in several parts: 1 + 2 x 0.25 + 0.75 with the former part.

--- a/burdockhill/src/gateway/upstream_permits.cc
+++ b/burdockhill/src/gateway/upstream_permits.cc
@@ -20,7 +20,7 @@
 constexpr double kMinProbeRate = 0.25;  // Requests a second.
 // Part of the even share that entries without a coordinator use. What they
 // send comes at random and at times in clusters.
-constexpr double kUncoordinatedPart = 0.75;
+constexpr double kUncoordinatedPart = 0.5;
 // An entry that was refused a permit asks again after about this time at the
 // latest, as the others may need none any more.
 constexpr Duration kMaxAskInterval = std::chrono::seconds(2);
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration kNetworkDelay = std::chrono::milliseconds(1);
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(500);
 constexpr uint16_t kPeerPort = 7660;
@@ -228,7 +227,8 @@
   }
   GatewayDeployment* owner = m_deployment;
   owner->m_queue.Schedule(
-      kNetworkDelay, [owner, vm, self = m_self] { owner->Dial(self, vm); });
+      owner->m_options.network_delay,
+      [owner, vm, self = m_self] { owner->Dial(self, vm); });
 }
 
 void DeploymentLink::Send(const VmName& vm, Message message) {
@@ -237,7 +237,8 @@
     ++owner->m_permit_requests;
   }
   owner->m_queue.Schedule(
-      kNetworkDelay, [owner, vm, from = m_self.vm, sent = std::move(message)] {
+      owner->MessageDelay(m_self.vm, vm),
+      [owner, vm, from = m_self.vm, sent = std::move(message)] {
         if (owner->IsCut(from, vm)) return;
         owner->Deliver(from, vm, sent);
       });
@@ -247,7 +248,7 @@
 
 GatewayDeployment::GatewayDeployment(const Options& options)
     : m_options(options),
-      m_socket_network(&m_queue, kNetworkDelay),
+      m_socket_network(&m_queue, options.network_delay),
       m_random(options.seed) {
   std::vector<RegisteredUpstream>& upstreams = m_registrations;
   const int runners = options.prefill_runners + options.decode_runners;
@@ -339,6 +340,17 @@
   }
 }
 
+Duration GatewayDeployment::MessageDelay(const VmName& from, const VmName& to) {
+  Duration delay = m_options.network_delay;
+  const bool slow = m_options.slow_messages > 0 &&
+                    m_random.UniformBelow(m_options.slow_messages) == 0;
+  if (slow) delay += m_options.extra_delay;
+  // Messages of a connection arrive in order.
+  TimePoint& last = m_last_arrival[{from, to}];
+  last = std::max(last, m_clock.Now() + delay);
+  return last - m_clock.Now();
+}
+
 void GatewayDeployment::Dial(const Hello& from, const VmName& to) {
   const auto peer = m_peers.find(to);
   const auto own = m_peers.find(from.vm);
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/gateway.h"
@@ -80,6 +81,11 @@
     int plain_upstreams = 0;
     // The first entries are seeds, to which the others connect.
     int seeds = 3;
+    // Of messages between processes. One in `slow_messages` takes longer by
+    // `extra_delay`, as after a packet loss; zero for none.
+    Duration network_delay = std::chrono::milliseconds(1);
+    uint64_t slow_messages = 0;
+    Duration extra_delay = std::chrono::milliseconds(250);
     uint64_t seed = 1;
   };
 
@@ -153,6 +159,7 @@
     return m_cut.contains(one) || m_cut.contains(other);
   }
   void Dial(const Hello& from, const VmName& to);
+  Duration MessageDelay(const VmName& from, const VmName& to);
   // Passes a message to a peer that runs.
   void Deliver(const VmName& from, const VmName& to, const Message& message);
   // Registers each runner whose role has changed with its new role.
@@ -174,6 +181,7 @@
   // by the dialled VM.
   std::map<VmName, std::set<VmName>> m_dialled_by;
   int64_t m_permit_requests = 0;
+  std::map<std::pair<VmName, VmName>, TimePoint> m_last_arrival;
   std::set<VmName> m_cut;
   std::set<VmName> m_frozen;
   struct HeldMessage {
