--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -472,7 +472,7 @@
   CachingConfigurationEvents events(&m_new.configuration_applier, &m_new.relay);
   events.OnList({ConfigurationObject({2, 9}, kOlderConfiguration)}, {2, 9});
   LONGS_EQUAL(5, m_new.routes.Configuration().generation.Value());
-  AdvanceTime(milliseconds(1500));
+  AdvanceTime(seconds(1));
   LONGS_EQUAL(7, m_new.routes.Configuration().generation.Value());
   // Once more from the restored store.
   events.OnChange(ConfigurationObject({2, 10}, kOlderConfiguration));
