An acceptance that a restored store has lost is repeated

What operators would see: the store names an older generation as accepted than all VMs have in force, for good if nothing else is written. Cause: the coordinator proposed a generation only for a change of content, and the content was the same. Fix: if a live VM reports a later generation in force than the store names as accepted, the accepted content is published again under a higher one.

--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -57,7 +57,11 @@
   if (!m_watching && m_board->now >= m_next_watch) WatchResources();
   const bool has_undecided_writes =
       m_has_full_list && m_revision > m_state.decided_revision;
-  if (m_phase == Phase::kIdle && has_undecided_writes) ProposeChange();
+  const bool has_lost_acceptance = m_has_full_list && IsAcceptedOvertaken();
+  if (m_phase == Phase::kIdle &&
+      (has_undecided_writes || has_lost_acceptance)) {
+    ProposeChange();
+  }
   if (m_phase == Phase::kAwaitingStaged) CheckStaged();
   UpdateRollout();
 }
@@ -175,7 +179,8 @@
   m_change_revision = m_revision;
   m_refused.clear();
   const std::vector<ResourceText> texts = ApplyUndecidedWrites(&m_refused);
-  if (m_proposed == m_accepted && m_state.accepted.IsValid()) {
+  if (m_proposed == m_accepted && m_state.accepted.IsValid() &&
+      !IsAcceptedOvertaken()) {
     ConfigurationStateObject state = m_state;
     state.staged = Generation();
     state.coordinator = m_board->self.vm;
@@ -268,6 +273,16 @@
       }));
 }
 
+bool ConfigurationCoordinator::IsAcceptedOvertaken() const {
+  return std::any_of(m_board->generations.begin(), m_board->generations.end(),
+                     [this](const auto& item) {
+                       const VmGenerations& reported = item.second;
+                       return reported.in_force > m_state.accepted &&
+                              m_board->now - reported.last_heard <=
+                                  kLivenessTimeout;
+                     });
+}
+
 Generation ConfigurationCoordinator::NextGeneration() {
   uint64_t highest = std::max(m_last_generation, m_board->in_force.Value());
   for (const auto& [vm, reported] : m_board->generations) {
--- a/burdockhill/src/entry/configuration_coordinator.h
+++ b/burdockhill/src/entry/configuration_coordinator.h
@@ -61,6 +61,9 @@
   void BeginTerm();
   // Discards what was read from a store that was restored since.
   void ForgetStore();
+  // Whether a live VM has a later generation in force than the store names as
+  // accepted: the store was restored, and the acceptance is lost.
+  bool IsAcceptedOvertaken() const;
   // A generation that no entry has in force or staged, also if the store has
   // lost them.
   Generation NextGeneration();
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -3,9 +3,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <vector>
+
 #include "tests/promise_commands.h"
 #include "tests/promise_oracle.h"
 
+using burdockhill::CommandKind;
 using burdockhill::CommandRunner;
 using burdockhill::PromiseOracle;
 using burdockhill::emulation::EntryAgentDeployment;
@@ -193,3 +197,44 @@
   }
   CheckAtRestAfterFaults();
 }
+
+namespace {
+
+// Runs commands as promises_fuzz_test does. Returns the first violation at
+// rest, or an empty string.
+std::string FirstViolationAfter(
+    const std::vector<burdockhill::Command>& commands) {
+  EntryAgentDeploymentOptions options;
+  options.seed = 1;
+  options.zones = 2;
+  options.decode_upstreams_per_zone = 1;
+  options.engine.slots = 4;
+  EntryAgentDeployment deployment(options);
+  if (!deployment.RunUntilReady()) return "not ready";
+  PromiseOracle oracle(&deployment);
+  CommandRunner runner(&deployment);
+  for (const burdockhill::Command& command : commands) {
+    runner.Execute(command);
+    deployment.RunFor(milliseconds(5));
+  }
+  runner.EndFaults();
+  deployment.RunFor(seconds(75));
+  oracle.CheckAtRest();
+  return oracle.Violations().empty() ? "" : oracle.Violations().front();
+}
+
+}  // namespace
+
+TEST_GROUP(Sequences){};
+
+TEST(Sequences, AnAcceptanceThatARestoredStoreHasLostIsRepeated) {
+  STRCMP_EQUAL(
+      "", FirstViolationAfter({{CommandKind::kMakeBackEndUnreachable, 0, 0},
+                               {CommandKind::kSendPrompt, 18, 18},
+                               {CommandKind::kRestoreStore, 0, 0},
+                               {CommandKind::kWaitLong, 249, 0},
+                               {CommandKind::kStoreOutage, 0, 0},
+                               {CommandKind::kRestoreStore, 0, 0},
+                               {CommandKind::kWaitLong, 479, 0}})
+              .c_str());
+}
--- a/tests/promise_commands.cc
+++ b/tests/promise_commands.cc
@@ -117,6 +117,11 @@
     case CommandKind::kStoreLosesAnswers:
       store.lose_answer_per_mille = store.lose_answer_per_mille == 0 ? 300 : 0;
       return;
+    case CommandKind::kCopyStore:
+      m_store_copy = m_deployment->Platform().Model();
+      return;
+    case CommandKind::kRestoreStore:
+      return RestoreStore();
     case CommandKind::kDuplicateMessages:
       m_network_faults.duplicate = m_network_faults.duplicate == 0 ? 50 : 0;
       return network.SetFaults(m_network_faults);
@@ -139,6 +144,20 @@
   }
 }
 
+void CommandRunner::RestoreStore() {
+  const std::vector<std::string> kinds(std::begin(kResourceKinds),
+                                       std::end(kResourceKinds));
+  standins::PlatformModel& model = m_deployment->Platform().Model();
+  const std::vector<StoredObject> written = model.ChangesSince(kinds, 0);
+  model.Restore(m_store_copy);
+  for (const StoredObject& object : written) {
+    StoredObject restored;
+    model.Get(object.key, &restored);
+    if (restored.value == object.value) continue;
+    m_deployment->WriteResource(object.key.kind, object.key.name, object.value);
+  }
+}
+
 void CommandRunner::EndFaults() {
   m_network_faults = {};
   m_deployment->Network().SetFaults({});
--- a/tests/promise_commands.h
+++ b/tests/promise_commands.h
@@ -33,6 +33,8 @@
   kStoreOutage,
   kStoreSlow,
   kStoreLosesAnswers,
+  kCopyStore,
+  kRestoreStore,
   kDuplicateMessages,
   kReorderMessages,
   kDrainAgent,
@@ -56,7 +58,8 @@
 class CommandRunner {
  public:
   explicit CommandRunner(emulation::EntryAgentDeployment* deployment)
-      : m_deployment(deployment) {}
+      : m_deployment(deployment),
+        m_store_copy(deployment->Platform().Model()) {}
 
   void Execute(const Command& command);
 
@@ -68,6 +71,8 @@
   const std::map<CommandKind, int64_t>& Counts() const { return m_counts; }
 
  private:
+  // Restores the store from the copy. Operators write again what it lacks.
+  void RestoreStore();
   void SendPrompt(const Command& command, int64_t bytes);
   void SendCall(const Command& command, const std::string& method);
   emulation::EntryFake& Entry(uint32_t number);
@@ -78,6 +83,7 @@
   std::vector<RequestId> m_ids;
   uint64_t m_next_number = 0;
   emulation::NetworkFaults m_network_faults;
+  standins::PlatformModel m_store_copy;
 };
 
 }  // namespace burdockhill
