Calls from before a restore do not change what the store was restored to

The product's other deployment; found by the fuzzer.

What operators would see: no change comes into force any more. Cause: on accepting a generation, the coordinator deletes the content of the one before, whatever its version. A delete that arrived after the restore took the content that the restored state names as accepted, and the coordinator read it again and again.

Fix: the delete names the version of the content. Likewise, answers to calls from before the coordinator learned of the restore are dropped, as those of an earlier lease term are; no test showed that one did harm.

--- a/burdockhill/src/entry/configuration_coordinator.cc
+++ b/burdockhill/src/entry/configuration_coordinator.cc
@@ -67,6 +67,10 @@
 }
 
 void ConfigurationCoordinator::ForgetStore() {
+  ++m_session;
+  m_watching = false;
+  m_reading_state = false;
+  m_rollout_text.clear();
   m_state_known = false;
   m_accepted_known = false;
   m_has_full_list = false;
@@ -78,8 +82,6 @@
 void ConfigurationCoordinator::BeginTerm() {
   m_term = m_lease.Term();
   ForgetStore();
-  m_watching = false;
-  m_reading_state = false;
 }
 
 // ---- Reading the store ----
@@ -88,7 +90,7 @@
   m_reading_state = true;
   m_store->Get(
       ConfigurationStateKey(),
-      BindToTerm([this](StoreStatus status, const StoredObject& object) {
+      BindToSession([this](StoreStatus status, const StoredObject& object) {
         OnStateRead(status, object);
       }));
 }
@@ -113,7 +115,7 @@
   }
   m_store->Get(
       ConfigurationContentKey(m_state.accepted),
-      BindToTerm([this](StoreStatus result, const StoredObject& content) {
+      BindToSession([this](StoreStatus result, const StoredObject& content) {
         OnAcceptedRead(result, content);
       }));
 }
@@ -129,6 +131,7 @@
   for (ResourceText& text : ParseResourceFile(content.value, &errors)) {
     m_accepted[text.key] = std::move(text.spec);
   }
+  m_accepted_version = content.version;
   m_accepted_known = true;
 }
 
@@ -139,9 +142,9 @@
   const uint64_t since = m_revision;
   m_store->Watch(
       kinds, since,
-      BindToTerm([this, since](StoreStatus status,
-                               const std::vector<StoredObject>& changes,
-                               uint64_t revision) {
+      BindToSession([this, since](StoreStatus status,
+                                  const std::vector<StoredObject>& changes,
+                                  uint64_t revision) {
         m_watching = false;
         if (status == StoreStatus::kOk) {
           return OnResources(changes, since, revision);
@@ -256,15 +259,17 @@
   const Generation generation = NextGeneration();
   m_store->Put(
       ConfigurationContentKey(generation), content, 0,
-      BindToTerm([this, generation](StoreStatus status, uint64_t /*version*/) {
+      BindToSession([this, generation](StoreStatus status, uint64_t version) {
         if (m_phase != Phase::kPublishing) return;
         if (status != StoreStatus::kOk) {
-          // Another coordinator has used this generation, or the outcome is
-          // unknown: the next attempt uses a new generation.
+          // Another coordinator has used this generation, or the
+          // outcome is unknown: the next attempt uses a new
+          // generation.
           m_phase = Phase::kIdle;
           if (status == StoreStatus::kConflict) m_state_known = false;
           return;
         }
+        m_staged_version = version;
         ConfigurationStateObject state = m_state;
         state.staged = generation;
         state.coordinator = m_board->self.vm;
@@ -344,8 +349,8 @@
   m_phase = Phase::kWritingState;
   const std::string text = FormatState(state);
   m_store->Put(ConfigurationStateKey(), text, m_state_version,
-               BindToTerm([this, state, next_phase](StoreStatus status,
-                                                    uint64_t version) {
+               BindToSession([this, state, next_phase](StoreStatus status,
+                                                       uint64_t version) {
                  if (status != StoreStatus::kOk) {
                    // Reads the state again to see whether the write took
                    // effect.
@@ -357,10 +362,14 @@
                  const Generation before = m_state.accepted;
                  if (state.accepted != before) {
                    m_accepted = m_proposed;
+                   // With its version: a store that was restored meanwhile may
+                   // name this generation as the accepted one.
                    if (before.IsValid()) {
-                     m_store->Delete(ConfigurationContentKey(before), 0,
+                     m_store->Delete(ConfigurationContentKey(before),
+                                     m_accepted_version,
                                      [](StoreStatus, uint64_t) {});
                    }
+                   m_accepted_version = m_staged_version;
                  }
                  m_state = state;
                  m_state_version = version;
--- a/burdockhill/src/entry/configuration_coordinator.h
+++ b/burdockhill/src/entry/configuration_coordinator.h
@@ -47,19 +47,20 @@
     bool deleted = false;
   };
 
-  // Wraps a store callback so that it does nothing once the lease term has
-  // changed: an answer to a call of an earlier term may be out of date.
+  // Wraps a store callback so that it does nothing once ForgetStore was called:
+  // an answer to a call of an earlier lease term, or from before the store was
+  // restored, may be out of date.
   template <typename Callback>
-  auto BindToTerm(Callback callback) {
-    return [this, term = m_term,
+  auto BindToSession(Callback callback) {
+    return [this, session = m_session,
             callback = std::move(callback)](const auto&... arguments) {
-      if (term == m_term) callback(arguments...);
+      if (session == m_session) callback(arguments...);
     };
   }
 
-  // Discards the state of an earlier term.
   void BeginTerm();
-  // Discards what was read from a store that was restored since.
+  // Discards what was read from the store, in an earlier lease term or before
+  // the store was restored, and the answers that are still to come.
   void ForgetStore();
   // Whether a live VM has a later generation in force than the store names as
   // accepted: the store was restored, and the acceptance is lost.
@@ -108,7 +109,8 @@
   ObjectStore* m_store;
 
   ConfigurationLease m_lease;
-  uint64_t m_term = 0;  // Lease term that the members below belong to.
+  uint64_t m_term = 0;     // Lease term that the members below belong to.
+  uint64_t m_session = 0;  // Counts calls of ForgetStore.
 
   bool m_watching = false;  // A watch call is pending.
   TimePoint m_next_watch{};
@@ -124,6 +126,9 @@
   // Specs of the accepted generation; the base of the next change.
   std::map<ResourceKey, std::string> m_accepted;
   bool m_accepted_known = false;
+  // Store versions of the contents of the accepted and the staged generation.
+  uint64_t m_accepted_version = 0;
+  uint64_t m_staged_version = 0;
   uint64_t m_last_generation = 0;  // Highest one used, also in earlier terms.
 
   Phase m_phase = Phase::kIdle;
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -238,3 +238,18 @@
                                {CommandKind::kWaitLong, 479, 0}})
               .c_str());
 }
+
+TEST(Sequences, AnEntryThatIsAheadOfARestoredStoreIsCaughtUpWith) {
+  STRCMP_EQUAL("",
+               FirstViolationAfter({{CommandKind::kCrashEntry, 0, 0},
+                                    {CommandKind::kWriteConfiguration, 0, 0},
+                                    {CommandKind::kCrashEngine, 0, 0},
+                                    {CommandKind::kCrashEntry, 0, 0},
+                                    {CommandKind::kSendPrompt, 0, 0},
+                                    {CommandKind::kSendPrompt, 0, 0},
+                                    {CommandKind::kCrashEngine, 0, 0},
+                                    {CommandKind::kSendPrompt, 0, 0},
+                                    {CommandKind::kSendPrompt, 0, 0},
+                                    {CommandKind::kRestoreStore, 0, 0}})
+                   .c_str());
+}
