--- a/burdockhill/src/gateway/upstream_permits.cc
+++ b/burdockhill/src/gateway/upstream_permits.cc
@@ -24,6 +24,7 @@
 // An entry that was refused a permit asks again after about this time at the
 // latest, as the others may need none any more.
 constexpr Duration kMaxAskInterval = std::chrono::seconds(2);
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 
 }  // namespace
@@ -170,7 +171,7 @@
   returns.SetRate(rate / AssumedEntries(), now);
   const Duration spread =
       returns.Take(kMaxRetryAfter, now).value_or(kMaxRetryAfter);
-  return std::clamp(std::max(earliest - now, spread), Duration(1),
+  return std::clamp(std::max(earliest - now, spread), kMinRetryAfter,
                     kMaxRetryAfter);
 }
 
