Errors that state no limit do not lift one, those of callers included

An upstream's response with a 4xx status and no limit lifted the limit; test ErrorsThatStateNoLimitDoNotLiftOne failed before for 404. Schedules of Retry-After are dropped with the limits.

--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr int kFirstErrorStatus = 500;
+constexpr int kFirstErrorStatus = 400;
 
 int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
--- a/burdockhill/src/gateway/upstream_permits.cc
+++ b/burdockhill/src/gateway/upstream_permits.cc
@@ -164,7 +164,10 @@
     const TimePoint at = m_exhausted_until.at(upstream);
     if (earliest == TimePoint() || at < earliest) earliest = at;
   }
-  if (rate == 0) return Duration(0);
+  if (rate == 0) {
+    m_returns.erase(service);
+    return Duration(0);
+  }
   PermitSchedule& returns =
       m_returns.try_emplace(service, PermitSchedule::Unused::kKeepOne, now)
           .first->second;
--- a/tests/gateway_test_rate_limits.cc
+++ b/tests/gateway_test_rate_limits.cc
@@ -270,6 +270,25 @@
   CHECK(rate.CountBetween(start, deployment.Now()) >= 155);
 }
 
+TEST(RateLimits, ErrorsThatStateNoLimitDoNotLiftOne) {
+  GatewayDeployment::Options options;
+  options.plain_upstreams = 1;
+  GatewayDeployment deployment(options);
+  const auto any = [&] {
+    return static_cast<int>(deployment.Randomness().UniformBelow(3));
+  };
+  RequestRate& rate = deployment.PlainRate(0);
+  rate.SetLimit(4);
+  deployment.GeneratePlainLoad(30, seconds(4), any);
+  for (const int status : {404, 500}) {
+    rate.SetLimit(std::nullopt);
+    deployment.Plain(0).SetStatus(status);
+    const TimePoint start = deployment.Now();
+    deployment.GeneratePlainLoad(30, seconds(5), any);
+    CheckKept(rate, 4, start, deployment.Now());
+  }
+}
+
 // Entries that are restarted, frozen or cut off do not count during that time
 // and some seconds after it.
 class FaultLog {
