Soak: requests before the first lists of the store do not count as servable

Trace: the store fell silent before any entry had read it and answered again 4.9 s later; 57 requests were refused with 'no configuration', which is all that an entry without store and peers can do.

The quarter is taken of the requests sent after all entries and agents have listed the store, so that the check is as strict on what can be served.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -120,6 +120,7 @@
   bool ended = false;
   bool failed = false;
   bool cancelled = false;
+  bool was_servable = false;        // The store had been read before.
   bool is_on_newest_route = false;  // Sent after all faults have ended.
   std::string body;
 };
@@ -329,6 +330,12 @@
     const std::string id = "r" + std::to_string(m_callers.size());
     auto caller = std::make_unique<Caller>(kind, id);
     caller->entry = entry;
+    // Each entry has listed the configuration and the upstreams, each agent the
+    // upstreams. Before that, an outage of the store leaves nothing to serve
+    // by.
+    caller->was_servable =
+        m_store.ListCount() >=
+        2 * absl::GetFlag(FLAGS_entries) + absl::GetFlag(FLAGS_engines);
     caller->is_on_newest_route = path == NewestPath();
     caller->call = m_pool.Start(
         EntryAddress(entry),
@@ -470,7 +477,10 @@
       std::cout << "VIOLATION KV cache memory is still held: " << held_tokens
                 << " tokens, " << m_handles.size() << " handles\n";
     }
-    if (m_served_count * 4 < static_cast<int>(m_callers.size())) {
+    const auto servable =
+        std::count_if(m_callers.begin(), m_callers.end(),
+                      [](const auto& caller) { return caller->was_servable; });
+    if (m_served_count * 4 < servable) {
       ++m_violations;
       std::cout << "VIOLATION fewer than a quarter were served\n";
     }
