--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -480,7 +480,7 @@
     const auto servable =
         std::count_if(m_callers.begin(), m_callers.end(),
                       [](const auto& caller) { return caller->was_servable; });
-    if (m_served_count * 4 < servable) {
+    if (int64_t{4} * m_served_count < servable) {
       ++m_violations;
       std::cout << "VIOLATION fewer than a quarter were served\n";
     }
