--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -648,7 +648,7 @@
                     await asyncio.sleep(pause_s)
                     pause_s = 0.0
                 piece = await asyncio.wait_for(
-                    loop.sock_recv(self.socket, 4096), gives_up_at - time.monotonic())
+                    loop.sock_recv(self.socket, self.window or 65536), gives_up_at - time.monotonic())
                 if not piece:
                     answer.error = "the entry closed the channel"
                     break
