A connection to an upstream carries each request id once

What callers saw: a stream that may not be resumed ran on two engines (TWICE); a caller that used its id again was told 'not run' for a request that ran (REFUSED).

Cause: responses on a kept connection are told apart by the request's id. The pool gave the connection of a rejected call to the next call of the same id, so that a late second copy of the rejection was taken for the answer to that call. Ruled out: that the entry sends the request again by itself.

Change: a call whose id a connection has carried goes to another connection. This holds for both phases of streams, plain calls and ids that callers repeat. A connection is closed after 512 ids, which bounds what is remembered.

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -32,9 +32,12 @@
 // here, and continues once the operating system has accepted all of them.
 constexpr size_t kHighWatermarkBytes = size_t{256} << 10;
 
-http::CallPolicy PolicyFor(const Route& route) {
+http::CallPolicy PolicyFor(const RoutedRequest& routed) {
   http::CallPolicy policy;
-  if (route.kind != RequestKind::kIdempotent) policy.max_idle_time = kSafeIdle;
+  policy.response_id = routed.request.id;
+  if (routed.route.kind != RequestKind::kIdempotent) {
+    policy.max_idle_time = kSafeIdle;
+  }
   return policy;
 }
 
@@ -174,7 +177,7 @@
   request->call = m_board->connections->Start(
       upstream->address,
       m_board->codec->EncodeCall(routed.request, *upstream, call), this,
-      PolicyFor(routed.route));
+      PolicyFor(routed));
   m_board->placement.RecordCallStart(upstream->name);
   CountLimitedCall(m_board, routed, upstream->name,
                    request->tried_upstreams.size() > 1);
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -215,10 +215,12 @@
   stream->response_body.clear();
   stream->is_forwarding = false;
   stream->routed.last_upstream = upstream.name;
+  http::CallPolicy policy;
+  policy.response_id = stream->routed.request.id;
   stream->call = m_board->connections->Start(
       upstream.address,
       m_board->codec->EncodeCall(stream->routed.request, upstream, call), this,
-      {});
+      policy);
   if (!stream->call.IsValid()) return false;
   CountLimitedCall(m_board, stream->routed, upstream.name,
                    stream->prefill_calls > 1 || stream->decode_calls > 1);
--- a/burdockhill/src/http/connection_pool.cc
+++ b/burdockhill/src/http/connection_pool.cc
@@ -1,6 +1,8 @@
 #include "burdockhill/src/http/connection_pool.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <utility>
 
 namespace burdockhill::http {
@@ -42,9 +44,9 @@
 CallId ConnectionPool::Start(const std::string& address, std::string request,
                              CallEvents* events, const CallPolicy& policy) {
   const CallId id(++m_last_call_id);
-  SocketId socket = TakeIdleConnection(address, policy.max_idle_time);
+  SocketId socket = TakeIdleConnection(address, policy);
   if (socket.IsValid()) {
-    BeginCall(m_connections.Find(socket), id, request);
+    BeginCall(m_connections.Find(socket), id, request, policy);
     m_calls.FindOrInsert(id) = {socket, events, {}};
     m_sockets->Write(socket, request);
     return id;
@@ -55,15 +57,21 @@
   if (!socket.IsValid()) return CallId();
   Connection& connection = m_connections.FindOrInsert(socket);
   connection.address = address;
-  BeginCall(&connection, id, request);
+  connection.idle_key = IdleKey(address, policy.lane);
+  BeginCall(&connection, id, request, policy);
   connection.connect_deadline = m_clock->Now() + policy.connect_timeout;
   m_calls.FindOrInsert(id) = {socket, events, std::move(request)};
   return id;
 }
 
 void ConnectionPool::BeginCall(Connection* connection, CallId id,
-                               std::string_view request) {
+                               std::string_view request,
+                               const CallPolicy& policy) {
   connection->call = id;
+  if (!policy.response_id.empty()) {
+    connection->carried_ids.push_back(
+        std::hash<std::string>()(policy.response_id));
+  }
   connection->expects_no_body = request.starts_with(kHeadMethod);
   ResetReader(connection);
 }
@@ -81,27 +89,43 @@
              : found->second.max_idle_time;
 }
 
+std::string ConnectionPool::IdleKey(const std::string& address,
+                                    const std::string& lane) {
+  return lane.empty() ? address : address + " " + lane;
+}
+
+bool ConnectionPool::HasCarried(const Connection& connection,
+                                const std::string& id) {
+  const std::vector<size_t>& ids = connection.carried_ids;
+  return !id.empty() && std::find(ids.begin(), ids.end(),
+                                  std::hash<std::string>()(id)) != ids.end();
+}
+
 SocketId ConnectionPool::TakeIdleConnection(const std::string& address,
-                                            Duration max_idle_time) {
-  const auto found = m_idle_sockets.find(address);
-  if (found == m_idle_sockets.end()) return SocketId();
+                                            const CallPolicy& policy) {
+  const auto found = m_idle_sockets.find(IdleKey(address, policy.lane));
+  if (found == m_idle_sockets.end() || !policy.allows_reuse) return SocketId();
+  std::vector<SocketId>& idle = found->second;
   const TimePoint now = m_clock->Now();
-  const Duration limit = std::min(max_idle_time, MaxIdleTime(address, now));
+  const Duration limit =
+      std::min(policy.max_idle_time, MaxIdleTime(address, now));
   // The most recently used connection is the least likely to have been closed.
-  while (!found->second.empty()) {
-    const SocketId id = found->second.back();
+  for (size_t i = idle.size(); i-- > 0;) {
+    const SocketId id = idle[i];
     Connection* connection = m_connections.Find(id);
-    if (connection != nullptr && now < connection->usable_until) {
-      const Duration idle_time = now - connection->idle_start;
-      if (idle_time > limit) return SocketId();
-      connection->idle_time = idle_time;
-      connection->has_response_bytes = false;
-      found->second.pop_back();
-      return id;
+    if (connection == nullptr || now >= connection->usable_until) {
+      idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+      m_connections.Erase(id);
+      m_sockets->Close(id, /*reset=*/false);
+      continue;
     }
-    found->second.pop_back();
-    m_connections.Erase(id);
-    m_sockets->Close(id, /*reset=*/false);
+    const Duration idle_time = now - connection->idle_start;
+    if (idle_time > limit) return SocketId();
+    if (HasCarried(*connection, policy.response_id)) continue;
+    connection->idle_time = idle_time;
+    connection->has_response_bytes = false;
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    return id;
   }
   return SocketId();
 }
@@ -178,6 +202,7 @@
       KeepAliveTimeout(head.headers) - kIdleTimeoutMargin;
   const bool reuse = reusable && head.keep_alive &&
                      idle_timeout > Duration(0) &&
+                     connection->carried_ids.size() < kMaxCarriedIds &&
                      m_sockets->PendingBytes(id) == 0;
   connection->call = CallId();
   m_calls.Erase(call_id);
@@ -185,7 +210,7 @@
     connection->head_delivered = false;
     connection->idle_start = now;
     connection->usable_until = now + idle_timeout;
-    m_idle_sockets[connection->address].push_back(id);
+    m_idle_sockets[connection->idle_key].push_back(id);
   } else {
     m_connections.Erase(id);
     m_sockets->Close(id, /*reset=*/false);
@@ -220,7 +245,7 @@
     m_idle_limits[connection->address] = {connection->idle_time / 2,
                                           m_clock->Now() + kIdleLimitLifetime};
   }
-  if (!call_id.IsValid()) std::erase(m_idle_sockets[connection->address], id);
+  if (!call_id.IsValid()) std::erase(m_idle_sockets[connection->idle_key], id);
   m_connections.Erase(id);
   m_sockets->Close(id, /*reset=*/true);
   const Call* call = m_calls.Find(call_id);
--- a/burdockhill/src/http/connection_pool.h
+++ b/burdockhill/src/http/connection_pool.h
@@ -44,6 +44,15 @@
   // An idle connection is not reused after this time. The upstream may have
   // dropped it, and it would then be unknown whether the request was executed.
   Duration max_idle_time = std::chrono::seconds(4);
+  // Id that the upstream repeats in its response; empty if it repeats none. A
+  // connection carries each id once, so that a late second copy of a response
+  // cannot be taken for the response to a later call with the same id.
+  std::string response_id;
+  // Only calls of the same lane share connections. Separates calls whose
+  // responses have no id, and would otherwise be taken for each other.
+  std::string lane;
+  // Whether an idle connection may be used.
+  bool allows_reuse = true;
 };
 
 // Pool of HTTP/1.1 connections to upstreams. Idle connections are reused until
@@ -75,6 +84,9 @@
  private:
   struct Connection {
     std::string address;
+    std::string idle_key;  // See IdleKey.
+    // Hashes of the ids of all calls that it has carried.
+    std::vector<size_t> carried_ids;
     MessageReader reader{MessageKind::kResponse, kMaxResponseHeaderBytes};
     CallId call;
     bool connected = false;
@@ -96,6 +108,8 @@
   };
 
   static constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
+  // Bounds the ids that are remembered; the connection is closed afterwards.
+  static constexpr size_t kMaxCarriedIds = 512;
 
   void OnConnected(SocketId id) override;
   void OnBytes(SocketId id, std::string_view bytes) override;
@@ -109,11 +123,16 @@
   };
 
   Duration MaxIdleTime(const std::string& address, TimePoint now) const;
+  // Key of the idle connections that calls to `address` in `lane` share.
+  static std::string IdleKey(const std::string& address,
+                             const std::string& lane);
+  // Invalid if no idle connection may be used for a call with this policy.
   SocketId TakeIdleConnection(const std::string& address,
-                              Duration max_idle_time);
+                              const CallPolicy& policy);
+  static bool HasCarried(const Connection& connection, const std::string& id);
   // Assigns the connection to a call with this formatted request.
   static void BeginCall(Connection* connection, CallId id,
-                        std::string_view request);
+                        std::string_view request, const CallPolicy& policy);
   // Prepares the reader for the next response.
   static void ResetReader(Connection* connection);
   void ProcessInput(SocketId id, std::string_view bytes);
@@ -128,6 +147,7 @@
   uint64_t m_last_call_id = 0;
   Table<SocketId, Connection> m_connections;
   Table<CallId, Call> m_calls;
+  // By IdleKey, the least recently used first.
   std::unordered_map<std::string, std::vector<SocketId>> m_idle_sockets;
   std::unordered_map<std::string, IdleLimit> m_idle_limits;
 };
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -186,7 +186,10 @@
                                         "X-Request-Id: r1\r\n"
                                         "X-Not-Executed: 1\r\n",
                                         ""));
-  const std::string second = m_sockets.DrainOutput(decode);
+  STRCMP_EQUAL("", m_sockets.DrainOutput(decode).c_str());
+  const SocketId repeated =
+      EstablishTo(m_sockets.GetConnection(decode).address);
+  const std::string second = m_sockets.DrainOutput(repeated);
   STRCMP_CONTAINS("POST /stream/x", second.c_str());
   CHECK(second.find("X-Kv-Source") == std::string::npos);
   CHECK(m_sockets.GetConnection(caller).open);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -338,6 +338,39 @@
   CHECK(m_call.ended);
 }
 
+// Guards against a late second copy of a response that is taken for the
+// response to a repeated call.
+TEST(ConnectionPool, AConnectionCarriesAnIdOnce) {
+  http::CallPolicy policy;
+  policy.response_id = "r1";
+  m_pool.Start(kUpstream, "request", &m_call, policy);
+  const SocketId first = OnlyConnection();
+  m_sockets.CompleteConnect(first);
+  m_sockets.Inject(first, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  m_pool.Start(kUpstream, "request", &m_call, policy);
+  LONGS_EQUAL(2, m_sockets.OpenTo(kUpstream).size());
+  policy.response_id = "r2";
+  m_pool.Start(kUpstream, "request", &m_call, policy);
+  LONGS_EQUAL(2, m_sockets.OpenTo(kUpstream).size());  // On the first one.
+}
+
+TEST(ConnectionPool, AConnectionIsNotKeptForAnyNumberOfIds) {
+  constexpr int kCalls = 2000;
+  http::CallPolicy policy;
+  size_t connections = 0;
+  SocketId last;
+  for (int i = 0; i < kCalls; ++i) {
+    policy.response_id = std::to_string(i);
+    m_pool.Start(kUpstream, "request", &m_call, policy);
+    const SocketId id = OnlyConnection();
+    connections += id == last ? 0U : 1U;
+    last = id;
+    m_sockets.CompleteConnect(id);
+    m_sockets.Inject(id, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  CHECK(connections > 1 && connections <= 4);
+}
+
 TEST(ConnectionPool, AResponseToHeadEndsWithItsHead) {
   m_pool.Start(kUpstream, "HEAD / HTTP/1.1\r\n\r\n", &m_call, {});
   const SocketId id = OnlyConnection();
