An answer without an id is not taken for that of a prefill

What callers would see: a stream that goes on from the KV cache of another request, or whose prompt is computed again.

Cause: an answer to a prefill call was accepted without a request id. A late answer on the same connection that has none, such as the answer to the release of a KV cache, or another prefill's, was taken for it. Evidence: test AnAnswerWithoutAnIdIsNotThatOfAPrefill failed before: the handle of the foreign answer was used.

Change: upstreams repeat the id in all answers to requests, so other answers are skipped and logged, as for plain calls.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -372,10 +372,13 @@
   if (stream == nullptr) return true;
   const ResponseMetadata metadata =
       m_board->codec->DecodeResponseMetadata(head);
-  const bool is_own_response =
-      metadata.request_id == stream->routed.request.id ||
-      (stream->phase == Phase::kPrefilling && metadata.request_id.empty());
-  if (!is_own_response) return false;
+  if (metadata.request_id != stream->routed.request.id) {
+    m_board->log->Write("answer_skipped",
+                        {{"request", stream->routed.request.id},
+                         {"answer_to", metadata.request_id},
+                         {"upstream", stream->routed.last_upstream.Value()}});
+    return false;
+  }
   RecordRateLimit(m_board, stream->routed, head, metadata,
                   stream->call_started_at);
   stream->response_head = head;
--- a/tests/gateway_test_kept_connections.cc
+++ b/tests/gateway_test_kept_connections.cc
@@ -101,3 +101,23 @@
     STRCMP_CONTAINS("done", m_sockets.DrainOutput(caller).c_str());
   }
 }
+
+// Guards against an answer without an id, to a release of a KV cache or to a
+// prefill for another caller, that is taken for the answer to a prefill.
+TEST(KeptConnections, AnAnswerWithoutAnIdIsNotThatOfAPrefill) {
+  const SocketId caller = Post("/stream/x");
+  CHECK(GrantLatest<ReserveDecode>());
+  CHECK(GrantLatest<ReservePrefill>());
+  const SocketId prefill = EstablishTo(kPrefill);
+  m_sockets.Inject(prefill, HttpResponse(200, "", R"({"kvHandle":"other"})"));
+  LONGS_EQUAL(0, m_log.Count("prefill_failed"));
+  LONGS_EQUAL(0, m_sockets.OpenTo(kDecodeOne).size());
+  LONGS_EQUAL(0, m_sockets.OpenTo(kDecodeTwo).size());
+  m_sockets.Inject(prefill, HttpResponse(200, "X-Request-Id: r1\r\n",
+                                         R"({"kvHandle":"own"})"));
+  SocketId decode = EstablishTo(kDecodeOne);
+  if (!decode.IsValid()) decode = EstablishTo(kDecodeTwo);
+  STRCMP_CONTAINS("X-Kv-Source: 10.0.2.1:80/own",
+                  m_sockets.DrainOutput(decode).c_str());
+  CHECK(m_sockets.GetConnection(caller).open);
+}
