Calls whose answers name no request do not share connections

What callers would see: upstreams that are gone from an entry's list, or one that has left and is used again, for as long as it takes until the next list.

Cause: answers of the store and of engines to their agents name no call. The feeds of the configuration and of the upstreams shared idle connections, and so did the reports and orders of an agent; a late copy of one answer was taken for the answer to whichever call came next. A late copy of a list's last page ended the registrations of all other pages; an answer as of an earlier revision was taken for that to a watch; orders went out on the connection of the reports.

Change: connections are kept per lane, one for each feed. A list begins on a new connection; an answer that is of the other kind of call, of an earlier page or an earlier revision makes the feed list again. Orders take a new connection each. Reports keep theirs: a late copy is the report before, and the true one, which comes while the connection is idle, closes it.

--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -101,13 +101,14 @@
 }
 
 bool EngineAgent::StartCall(EngineCall* call, std::string request,
-                            Duration timeout, TimePoint now) {
+                            Duration timeout, TimePoint now,
+                            const http::CallPolicy& policy) {
   call->body.clear();
   call->status = 0;
   call->deadline = now + timeout;
   call->state = EngineCall::State::kWaiting;
   call->id =
-      m_pool->Start(m_options.engine_address, std::move(request), call, {});
+      m_pool->Start(m_options.engine_address, std::move(request), call, policy);
   if (!call->id.IsValid()) call->state = EngineCall::State::kFailed;
   return call->id.IsValid();
 }
@@ -125,7 +126,7 @@
     m_next_poll_at = now + kPollInterval;
     StartCall(&m_poll_call,
               m_codec->EncodeReportRequest(m_options.engine_address),
-              kPollTimeout, now);
+              kPollTimeout, now, {});
   }
   if (m_report.has_value() && now - m_reported_at > kMaxReportAge) {
     m_log->Write("engine_lost", {{"engine", m_options.engine_address}});
@@ -176,10 +177,15 @@
        {"prefill_rate_per_1000_s", PerThousandSeconds(rates.prefill)},
        {"decode_rate_per_1000_s", PerThousandSeconds(rates.decode)},
        {"orders_accepted", static_cast<int64_t>(m_report->orders_accepted)}});
+  // Answers of the engine name no call, so that a late copy of one could be
+  // taken for the answer to another on a connection that both use.
+  http::CallPolicy policy;
+  policy.lane = "orders";
+  policy.allows_reuse = false;
   StartCall(&m_order_call,
             m_codec->EncodeRoleOrder(*registration, *role,
                                      m_report->orders_accepted, m_options.vm),
-            kOrderTimeout, now);
+            kOrderTimeout, now, policy);
 }
 
 bool EngineAgent::IsDecodeEngine() const {
--- a/burdockhill/src/gateway/engine_agent.h
+++ b/burdockhill/src/gateway/engine_agent.h
@@ -61,7 +61,7 @@
 
   void ExpireCall(EngineCall* call, TimePoint now);
   bool StartCall(EngineCall* call, std::string request, Duration timeout,
-                 TimePoint now);
+                 TimePoint now, const http::CallPolicy& policy);
   void PollEngine(TimePoint now);
   void ApplyReport(const EngineReport& report, TimePoint now);
   void BalanceRoles(TimePoint now);
--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -67,7 +67,12 @@
       IsListOnly() && m_has_listed && m_clock->Now() >= m_cache_usable_at;
   std::string request = list ? m_codec->EncodeList(m_list_cursor, use_cache)
                              : m_codec->EncodeWatch(m_revision, wait);
-  m_call = m_pool->Start(m_options.address, std::move(request), this, {});
+  http::CallPolicy policy;
+  policy.lane = m_options.name;
+  // A late copy of an earlier answer could be taken for the start of a list.
+  const bool begins_list = list && m_list_cursor.empty();
+  policy.allows_reuse = !begins_list && m_consecutive_failures == 0;
+  m_call = m_pool->Start(m_options.address, std::move(request), this, policy);
   m_call_deadline = m_clock->Now() + wait + kResponseTimeout;
   if (!m_call.IsValid()) BackOff("no socket", 0);
 }
@@ -130,6 +135,10 @@
   m_body.clear();
   if (page.has_value()) SetEra(&*page);
   if (!page.has_value()) return BackOff("answer cannot be decoded", m_status);
+  if (!AnswersCall(*page)) {
+    BackOff("answer to another call", m_status);
+    return ForgetRevision();
+  }
   if (m_consecutive_failures > 0) {
     m_log->Write("store_regained",
                  {{"kind", m_options.name},
@@ -148,6 +157,16 @@
   for (FeedObject& object : page->objects) object.revision.era = m_era;
 }
 
+bool ObjectFeed::AnswersCall(const FeedPage& page) const {
+  if (m_state == State::kWatching) {
+    return !page.is_list && page.revision.number >= m_revision;
+  }
+  return page.is_list && std::all_of(page.objects.begin(), page.objects.end(),
+                                     [&](const FeedObject& object) {
+                                       return object.name > m_list_cursor;
+                                     });
+}
+
 void ObjectFeed::HandleListPage(FeedPage page) {
   for (FeedObject& object : page.objects) {
     m_list_cursor = std::max(m_list_cursor, object.name);
--- a/burdockhill/src/gateway/object_feed.h
+++ b/burdockhill/src/gateway/object_feed.h
@@ -77,6 +77,9 @@
   bool CheckEra();
   bool IsListOnly() const { return m_options.list_interval > Duration(0); }
   void SetEra(FeedPage* page) const;
+  // Whether the page can be the answer to the current call. Answers of the
+  // store name no call, so a late copy of an earlier one may come instead.
+  bool AnswersCall(const FeedPage& page) const;
   void HandleListPage(FeedPage page);
   void HandleWatchPage(const FeedPage& page);
   // Handles a failed call: logs the first one, reports it, and schedules the
--- a/burdockhill/src/http/connection_pool.cc
+++ b/burdockhill/src/http/connection_pool.cc
@@ -101,10 +101,22 @@
                                   std::hash<std::string>()(id)) != ids.end();
 }
 
+void ConnectionPool::CloseIdleConnections(const std::string& idle_key) {
+  const auto found = m_idle_sockets.find(idle_key);
+  if (found == m_idle_sockets.end()) return;
+  for (const SocketId id : found->second) {
+    m_connections.Erase(id);
+    m_sockets->Close(id, /*reset=*/false);
+  }
+  m_idle_sockets.erase(found);
+}
+
 SocketId ConnectionPool::TakeIdleConnection(const std::string& address,
                                             const CallPolicy& policy) {
-  const auto found = m_idle_sockets.find(IdleKey(address, policy.lane));
-  if (found == m_idle_sockets.end() || !policy.allows_reuse) return SocketId();
+  const std::string key = IdleKey(address, policy.lane);
+  if (!policy.allows_reuse) CloseIdleConnections(key);
+  const auto found = m_idle_sockets.find(key);
+  if (found == m_idle_sockets.end()) return SocketId();
   std::vector<SocketId>& idle = found->second;
   const TimePoint now = m_clock->Now();
   const Duration limit =
--- a/burdockhill/src/http/connection_pool.h
+++ b/burdockhill/src/http/connection_pool.h
@@ -51,7 +51,8 @@
   // Only calls of the same lane share connections. Separates calls whose
   // responses have no id, and would otherwise be taken for each other.
   std::string lane;
-  // Whether an idle connection may be used.
+  // Whether an idle connection may be used. Otherwise a new one replaces the
+  // idle ones of the lane.
   bool allows_reuse = true;
 };
 
@@ -126,6 +127,7 @@
   // Key of the idle connections that calls to `address` in `lane` share.
   static std::string IdleKey(const std::string& address,
                              const std::string& lane);
+  void CloseIdleConnections(const std::string& idle_key);
   // Invalid if no idle connection may be used for a call with this policy.
   SocketId TakeIdleConnection(const std::string& address,
                               const CallPolicy& policy);
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -73,6 +73,17 @@
         {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
          "state":"ready"}}],"hasMore":false,"asOf":5})";
 
+// A list of one upstream, as of this revision.
+std::string ListOf(const std::string& name, int revision,
+                   bool has_more = false) {
+  return R"({"items":[{"metadata":{"name":")" + name + R"(","revision":)" +
+         std::to_string(revision) + R"(},"spec":
+        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+         "state":"ready"}}],"hasMore":)" +
+         (has_more ? "true" : "false") + R"(,"asOf":)" +
+         std::to_string(revision) + "}";
+}
+
 }  // namespace
 
 TEST(ObjectFeed, WatchesFromTheRevisionOfTheList) {
@@ -163,6 +174,61 @@
   STRCMP_CONTAINS("watch=5", ReadRequest().c_str());
 }
 
+// Guards against a late copy of an answer of the store that is taken for the
+// answer to a call of another kind, or to another call of the same feed.
+TEST(ObjectFeed, ALateCopyOfAnAnswerIsNotThatToTheNextCall) {
+  m_feed.Tick();
+  Respond(200, ListOf("a", 5, /*has_more=*/true));
+  Respond(200, ListOf("a", 5, /*has_more=*/true));  // The late copy.
+  POINTERS_EQUAL(nullptr, m_directory.Find(UpstreamName("a")));
+  m_clock.Advance(seconds(1));
+  m_feed.Tick();
+  Respond(200, ListOf("a", 5, /*has_more=*/true));
+  Respond(200, ListOf("b", 5));
+  CHECK(m_directory.Find(UpstreamName("a")) != nullptr);
+  CHECK(m_directory.Find(UpstreamName("b")) != nullptr);
+  Respond(200, R"({"events":[],"asOf":4})");  // Of a watch before.
+  STRCMP_CONTAINS("watch=5", m_request.c_str());
+  m_clock.Advance(seconds(1));
+  m_feed.Tick();
+  Respond(200, ListOf("a", 9));
+  CHECK(m_request.find("watch") == std::string::npos);
+}
+
+// Guards against a list that begins with a late copy of its last page, which
+// would end the registrations of all other pages.
+TEST(ObjectFeed, AListBeginsOnANewConnection) {
+  ObjectFeed list_only_feed(
+      {"upstreams", "10.0.0.7:80", seconds(3), milliseconds(200), seconds(1)},
+      &m_feed_codec, &m_pool, &m_clock, &m_random, &m_log, &m_updater);
+  list_only_feed.Tick();
+  Respond(200, ListOf("a", 5, /*has_more=*/true));
+  const SocketId first = m_sockets.OpenTo("10.0.0.7:80").front();
+  Respond(200, ListOf("b", 5));
+  m_clock.Advance(seconds(2));
+  list_only_feed.Tick();
+  if (m_sockets.GetConnection(first).open) {
+    m_sockets.Inject(first, HttpResponse(200, "", ListOf("b", 5)));
+  }
+  CHECK(m_directory.Find(UpstreamName("a")) != nullptr);
+}
+
+// Guards against an answer for one feed that is taken for the other's.
+TEST(ObjectFeed, FeedsDoNotShareAConnection) {
+  m_feed.Tick();
+  Respond(200, ListOf("u", 5));
+  ReadRequest();
+  platform::PlatformFeedCodec codec{"10.0.0.7:80", "config"};
+  ObjectFeed other(
+      {"configuration", "10.0.0.7:80", seconds(3), milliseconds(200), {}},
+      &codec, &m_pool, &m_clock, &m_random, &m_log, &m_updater);
+  m_sockets.Inject(m_sockets.OpenTo("10.0.0.7:80").front(),
+                   HttpResponse(200, "", R"({"events":[{"deleted":true,
+                 "object":{"metadata":{"name":"u","revision":6}}}],"asOf":6})"));
+  other.Tick();
+  LONGS_EQUAL(2, m_sockets.OpenTo("10.0.0.7:80").size());
+}
+
 TEST(ObjectFeed, RefusedCallsAreRetriedWithBackoff) {
   int calls = 0;
   for (int i = 0; i < 500; ++i) {
@@ -179,17 +245,6 @@
 
 namespace {
 
-// A list of one upstream, as of this revision.
-std::string ListOf(const std::string& name, int revision,
-                   bool has_more = false) {
-  return R"({"items":[{"metadata":{"name":")" + name + R"(","revision":)" +
-         std::to_string(revision) + R"(},"spec":
-        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
-         "state":"ready"}}],"hasMore":)" +
-         (has_more ? "true" : "false") + R"(,"asOf":)" +
-         std::to_string(revision) + "}";
-}
-
 constexpr char kNoEvents[] = R"({"events":[],"asOf":9})";
 
 }  // namespace
@@ -489,6 +544,13 @@
     m_agent.OnPeerUp(entry);
     AnswerPoll("");
   }
+  // A report of the engine with this list of runs.
+  static std::string Report(const std::string& runs) {
+    return HttpResponse(200, "",
+                        R"({"stage":"decode","busy":false,"seq":0,"queued":0,
+          "active":0,"kvUsed":0,"kvTotal":100000,"runs":[)" +
+                            runs + "]}");
+  }
   // Answers the current poll with this list of runs.
   void AnswerPoll(const std::string& runs) {
     m_agent.Tick();
@@ -496,12 +558,7 @@
     CHECK(!ids.empty());
     m_sockets.CompleteConnect(ids.front());
     m_sockets.DrainOutput(ids.front());
-    m_sockets.Inject(
-        ids.front(),
-        HttpResponse(200, "",
-                     R"({"stage":"decode","busy":false,"seq":0,"queued":0,
-          "active":0,"kvUsed":0,"kvTotal":100000,"runs":[)" +
-                         runs + "]}"));
+    m_sockets.Inject(ids.front(), Report(runs));
     m_clock.Advance(milliseconds(70));
     m_agent.Tick();
   }
@@ -561,3 +618,27 @@
   LONGS_EQUAL(1, CountSent<AttemptRefused>());
   LONGS_EQUAL(1, m_log.Count("engine_lost"));
 }
+
+// Guards against a late copy of an engine's report that is taken for the answer
+// to an order, and the other way round.
+TEST(EngineAgent, OrdersDoNotShareTheConnectionOfReports) {
+  RegisteredUpstream other = MakeUpstream("f", "llm", "10.0.2.3:80");
+  other.role = EngineRole::kDecode;  // So that one of the two has to prefill.
+  m_directory.ApplyUpdate(other);
+  const SocketId reports = m_sockets.OpenTo(kDecodeOne).front();
+  SocketId order;
+  for (int i = 0; i < 1000 && !order.IsValid(); ++i) {
+    m_clock.Advance(milliseconds(10));
+    m_agent.Tick();
+    for (const SocketId id : m_sockets.OpenTo(kDecodeOne)) {
+      if (!m_sockets.GetConnection(id).connected) m_sockets.CompleteConnect(id);
+      const std::string request = m_sockets.DrainOutput(id);
+      if (request.starts_with("POST")) order = id;
+      if (request.starts_with("GET")) m_sockets.Inject(id, Report(""));
+    }
+  }
+  CHECK(order.IsValid());
+  CHECK(order != reports);
+  m_agent.Tick();
+  LONGS_EQUAL(0, m_log.Count("order_ended"));
+}
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -354,6 +354,26 @@
   LONGS_EQUAL(2, m_sockets.OpenTo(kUpstream).size());  // On the first one.
 }
 
+TEST(ConnectionPool, LanesDoNotShareConnections) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  Start();
+  const SocketId first = OnlyConnection();
+  m_sockets.CompleteConnect(first);
+  m_sockets.Inject(first, answer);
+  http::CallPolicy policy;
+  policy.lane = "other";
+  m_pool.Start(kUpstream, "request", &m_call, policy);
+  LONGS_EQUAL(2, m_sockets.OpenTo(kUpstream).size());
+  const SocketId second = m_sockets.OpenTo(kUpstream).back();
+  m_sockets.CompleteConnect(second);
+  m_sockets.Inject(second, answer);
+  policy.allows_reuse = false;  // A new connection replaces the second one.
+  m_pool.Start(kUpstream, "request", &m_call, policy);
+  LONGS_EQUAL(2, m_sockets.OpenTo(kUpstream).size());
+  CHECK(m_sockets.GetConnection(first).open);
+  CHECK(!m_sockets.GetConnection(second).open);
+}
+
 TEST(ConnectionPool, AConnectionIsNotKeptForAnyNumberOfIds) {
   constexpr int kCalls = 2000;
   http::CallPolicy policy;
