A list that is read in pages is as of its earliest page

What callers saw: an entry that had restarted sent orders to an upstream that was leaving for as long as that served (DRAIN), and those in progress at its exit were lost.

Cause: each page of a list is as of its own revision, and the watch began at the last one. A change between two pages, to an object of an earlier page, was in neither. Ruled out: that the entry knew of the change.

Change: the watch begins at the earliest revision of the pages. That is also the revision of the list for the directory of upstreams and for peers, which are told no higher one any more; the relay ignores changes that are older than what it has.

--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -168,6 +168,10 @@
 }
 
 void ObjectFeed::HandleListPage(FeedPage page) {
+  const bool is_first = m_list_cursor.empty();
+  m_listed_revision = is_first
+                          ? page.revision.number
+                          : std::min(m_listed_revision, page.revision.number);
   for (FeedObject& object : page.objects) {
     m_list_cursor = std::max(m_list_cursor, object.name);
     m_listed_objects.push_back(std::move(object));
@@ -176,12 +180,13 @@
   m_list_cursor.clear();
   m_has_listed = true;
   const auto count = static_cast<int64_t>(m_listed_objects.size());
-  m_events->OnList(std::exchange(m_listed_objects, {}), page.revision);
+  m_events->OnList(std::exchange(m_listed_objects, {}),
+                   StoreRevision{m_era, m_listed_revision});
   if (IsListOnly()) {
     return ScheduleCall(m_random->Jitter(
         std::max(m_options.list_interval, count * kListIntervalPerObject)));
   }
-  m_revision = page.revision.number;
+  m_revision = m_listed_revision;
   StartCall();
 }
 
--- a/burdockhill/src/gateway/object_feed.h
+++ b/burdockhill/src/gateway/object_feed.h
@@ -15,7 +15,7 @@
 class FeedEvents {
  public:
   virtual ~FeedEvents() = default;
-  // The complete list of objects as of `revision`.
+  // The complete list of objects as of `revision`. Some may be newer.
   virtual void OnList(const std::vector<FeedObject>& objects,
                       StoreRevision revision) = 0;
   // One object was written or deleted.
@@ -29,6 +29,10 @@
 // longer has the history since the last revision. Users that tolerate stale
 // data set `list_interval` and poll the store's cached list instead.
 //
+// The pages of a list are read one after the other and each is as of its own
+// revision. The list as a whole is as of the earliest one, from which the watch
+// begins, so that a change between two pages is not missed.
+//
 // A store that was restored from a copy has lost what was written since, and
 // gives out the same revisions again. The feed recognizes this by the era that
 // each response names, and lists again. Responses of an earlier era are
@@ -106,6 +110,7 @@
   TimePoint m_cache_usable_at{};
   std::string m_list_cursor;  // Name of the last object listed so far.
   std::vector<FeedObject> m_listed_objects;
+  uint64_t m_listed_revision = 0;  // The earliest of the pages so far.
   int m_status = 0;
   std::string m_body;
 };
--- a/burdockhill/src/gateway/peer_relay.cc
+++ b/burdockhill/src/gateway/peer_relay.cc
@@ -61,12 +61,19 @@
                                  StoreRevision revision) {
   m_objects.clear();
   m_registrations_revision = revision;
-  for (const FeedObject& object : objects) UpdateRegistration(object);
+  for (const FeedObject& object : objects) {
+    m_objects[object.name] = {object.name, object.revision, object.content};
+  }
 }
 
 void PeerRelay::UpdateRegistration(const FeedObject& object) {
   m_registrations_revision =
       std::max(m_registrations_revision, object.revision);
+  const auto known = m_objects.find(object.name);
+  // A watch repeats changes that the later pages of the list already had.
+  if (known != m_objects.end() && known->second.revision > object.revision) {
+    return;
+  }
   if (object.deleted) {
     m_objects.erase(object.name);
   } else {
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -45,6 +45,7 @@
   // peers if it has come into force. A store may also return older ones.
   void ForwardConfiguration(const FeedObject& object, FeedEvents* next);
   // Caches objects that were read from the store, to answer requests of peers.
+  // The list is complete as of `revision`; some objects may be newer.
   void SetRegistrations(const std::vector<FeedObject>& objects,
                         StoreRevision revision);
   void UpdateRegistration(const FeedObject& object);
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -229,6 +229,64 @@
   LONGS_EQUAL(2, m_sockets.OpenTo("10.0.0.7:80").size());
 }
 
+namespace {
+
+constexpr char kNoEvents[] = R"({"events":[],"asOf":9})";
+
+// A change of the upstream "a", which leaves.
+constexpr char kLeavingEvent[] =
+    R"({"events":[{"deleted":false,"object":{"metadata":{"name":"a",
+        "revision":6},"spec":{"service":"s","address":"10.0.0.9:80",
+        "zone":"z","slots":1,"state":"draining"}}}],"asOf":7})";
+
+}  // namespace
+
+// Guards against a change between two pages of a list that is never seen: an
+// upstream that has left gets requests for as long as it serves.
+TEST(ObjectFeed, AChangeBetweenTwoPagesIsNotMissed) {
+  m_feed.Tick();
+  Respond(200, ListOf("a", 5, /*has_more=*/true));
+  Respond(200, ListOf("b", 7));
+  Respond(200, kLeavingEvent);
+  STRCMP_CONTAINS("watch=5&", m_request.c_str());
+  CHECK(m_directory.Find(UpstreamName("a"))->leaving);
+}
+
+// The same for the list that follows a watch whose history is gone.
+TEST(ObjectFeed, AChangeBetweenTwoPagesAfterAGapIsNotMissed) {
+  m_feed.Tick();
+  Respond(200, ListOf("a", 3));
+  Respond(410, "{}");
+  Respond(200, ListOf("a", 5, /*has_more=*/true));
+  Respond(200, ListOf("b", 7));
+  STRCMP_CONTAINS("watch=5&", ReadRequest().c_str());
+}
+
+// The same for the list of a restored store, whose revisions begin anew.
+TEST(ObjectFeed, AChangeBetweenTwoPagesOfARestoredStoreIsNotMissed) {
+  m_feed.Tick();
+  RespondInEra(1, 200, ListOf("a", 9));
+  RespondInEra(2, 200, kNoEvents);
+  RespondInEra(2, 200, ListOf("a", 5, /*has_more=*/true));
+  RespondInEra(2, 200, ListOf("b", 7));
+  STRCMP_CONTAINS("watch=5&", ReadRequest().c_str());
+}
+
+// Guards against a list that ends a registration which is newer than the page
+// that it belongs to.
+TEST(ObjectFeed, AListIsAsOfItsEarliestPage) {
+  ObjectFeed list_only_feed(
+      {"upstreams", "10.0.0.7:80", seconds(3), milliseconds(200), seconds(1)},
+      &m_feed_codec, &m_pool, &m_clock, &m_random, &m_log, &m_updater);
+  RegisteredUpstream registered = MakeUpstream("aa", "s", "10.0.0.8:80");
+  registered.revision = 6;
+  m_directory.ApplyUpdate(registered);
+  list_only_feed.Tick();
+  Respond(200, ListOf("a", 5, /*has_more=*/true));
+  Respond(200, ListOf("b", 7));
+  CHECK(m_directory.Find(UpstreamName("aa")) != nullptr);
+}
+
 TEST(ObjectFeed, RefusedCallsAreRetriedWithBackoff) {
   int calls = 0;
   for (int i = 0; i < 500; ++i) {
@@ -243,11 +301,7 @@
   CHECK(calls >= 6 && calls <= 20);  // Within 10 seconds.
 }
 
-namespace {
-
-constexpr char kNoEvents[] = R"({"events":[],"asOf":9})";
-
-}  // namespace
+namespace {}  // namespace
 
 TEST(ObjectFeed, ListsAgainWhenARestoredStoreHasPassedTheWatchedRevision) {
   m_feed.Tick();
@@ -441,6 +495,31 @@
   CHECK(!m_new.directory.HasList());
 }
 
+// Guards against a peer that is told of a list as of a revision which only one
+// of its pages has, and of an upstream that leaves as it was before.
+TEST(PeerRelay, PeersAreToldTheRevisionAndTheNewestObjectsOfAList) {
+  FeedObject server;
+  server.name = "u";
+  server.revision = 7;  // Of a later page than the first.
+  server.content =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+          "state":"draining"})";
+  m_synced.relay.SetRegistrations({server}, 5);
+  FeedObject former = server;
+  former.revision = 6;
+  former.content =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+          "state":"ready"})";
+  m_synced.peers.sent.clear();
+  m_synced.relay.OnMessage(VmName("new"), Registrations{true, {}, {}});
+  const auto& list = std::get<Registrations>(m_synced.peers.sent.back().second);
+  LONGS_EQUAL(5, list.revision.number);
+  m_synced.relay.UpdateRegistration(former);
+  m_synced.relay.OnMessage(VmName("new"), Registrations{true, {}, {}});
+  CHECK(m_synced.DeliverTo("synced", &m_new));
+  CHECK(m_new.directory.Find(UpstreamName("u"))->leaving);
+}
+
 TEST(PeerRelay, CrashNoticesAreNotSentBackToTheirSender) {
   const RequestFingerprint request = FingerprintOf("POST", "h", "/x", "");
   m_synced.peers.sent.clear();
