An entry of the store that cannot be read costs only itself

Cause: a page of the store was parsed as one document. A lone surrogate, invalid UTF-8, a number out of range or deep nesting in one object discarded the page, and the feed repeated the call for ever. The same held for one route of a configuration. Evidence: tests AnUnreadableEntryCostsOnlyItself, UnreadableEntriesOfAConfigurationCostOnlyThemselves, ListsAreContinuedAfterAnyName and AnUnreadableRegistrationCostsOnlyItself failed before.

Change: JsonElements and JsonMember find the texts of the parts of a document without parsing them, and each object, route and service is parsed by itself. What is left out is logged. A list is continued after names that cannot be read; names are percent-encoded in the query. Registrations that are invalid are not relayed to peers, whose messages have a limit.

The library has no parser that goes on after such an error.

--- a/burdockhill/resources.h
+++ b/burdockhill/resources.h
@@ -6,6 +6,7 @@
 
 #include "burdockhill/src/resources/configuration.h"   // IWYU pragma: export
 #include "burdockhill/src/resources/field_error.h"     // IWYU pragma: export
+#include "burdockhill/src/resources/json_text.h"       // IWYU pragma: export
 #include "burdockhill/src/resources/resource.h"        // IWYU pragma: export
 #include "burdockhill/src/resources/settings.h"        // IWYU pragma: export
 #include "burdockhill/src/resources/untrusted_json.h"  // IWYU pragma: export
--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -180,7 +180,8 @@
   context.peers.SetEvents(&peer_dispatcher);
   CachingConfigurationEvents caching_configurations(&configuration_updater,
                                                     &relay);
-  CachingRegistrationEvents caching_registrations(&upstream_updater, &relay);
+  CachingRegistrationEvents caching_registrations(&upstream_updater, &relay,
+                                                  &object_codec);
   ObjectFeed configurations(FeedOptions("configuration", settings),
                             &configuration_calls, &context.pool, &context.clock,
                             &context.random, &context.log,
--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -136,8 +136,9 @@
 // The response of the store to a list or a watch call.
 struct FeedPage {
   std::vector<FeedObject> objects;
-  bool is_list = false;   // The response to a list call, not to a watch.
-  bool has_more = false;  // Lists only: there are further pages.
+  bool is_list = false;        // The response to a list call, not to a watch.
+  bool has_more = false;       // Lists only: there are further pages.
+  size_t unnamed_objects = 0;  // Left out, since they have no name.
   // Of the store, as of which the page is complete. Codecs do not set the era.
   StoreRevision revision;
 };
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -116,10 +116,12 @@
   const auto generation =
       static_cast<int64_t>(configuration->generation.Value());
   const auto routes = static_cast<int64_t>(configuration->routes.size());
+  const int64_t skipped = configuration->skipped_entries;
   const bool applied = m_board->routes.Apply(std::move(*configuration));
-  m_board->log->Write(
-      "configuration_received",
-      {{"generation", generation}, {"routes", routes}, {"in_force", applied}});
+  m_board->log->Write("configuration_received", {{"generation", generation},
+                                                 {"routes", routes},
+                                                 {"skipped", skipped},
+                                                 {"in_force", applied}});
   if (!applied) return;
   const CallerLimits& limits = m_board->routes.Configuration().limits;
   http::ServerLimits server_limits;
--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -145,6 +145,11 @@
                   {"failed_calls", int64_t{m_consecutive_failures}}});
     m_consecutive_failures = 0;
   }
+  if (page->unnamed_objects > 0) {
+    m_log->Write("objects_skipped",
+                 {{"kind", m_options.name},
+                  {"count", static_cast<int64_t>(page->unnamed_objects)}});
+  }
   if (m_state == State::kListing) {
     HandleListPage(std::move(*page));
   } else {
@@ -176,7 +181,10 @@
     m_list_cursor = std::max(m_list_cursor, object.name);
     m_listed_objects.push_back(std::move(object));
   }
-  if (page.has_more && !page.objects.empty()) return StartCall();
+  if (page.has_more) {
+    if (page.objects.empty()) return BackOff("page without names", m_status);
+    return StartCall();
+  }
   m_list_cursor.clear();
   m_has_listed = true;
   const auto count = static_cast<int64_t>(m_listed_objects.size());
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -116,25 +116,39 @@
   PeerRelay* m_relay;
 };
 
-// Forwards the registrations of a feed to `next` and caches them in the relay.
+// Forwards the registrations of a feed to `next`, and caches those that are
+// valid in the relay: another writer's entry may be as large as the store
+// allows, and would take the place of the others in a message.
 class CachingRegistrationEvents : public FeedEvents {
  public:
-  CachingRegistrationEvents(FeedEvents* next, PeerRelay* relay)
-      : m_next(next), m_relay(relay) {}
+  CachingRegistrationEvents(FeedEvents* next, PeerRelay* relay,
+                            const ObjectCodec* codec)
+      : m_next(next), m_relay(relay), m_codec(codec) {}
   void OnList(const std::vector<FeedObject>& objects,
               StoreRevision revision) override {
-    m_relay->SetRegistrations(objects, revision);
+    std::vector<FeedObject> valid;
+    for (const FeedObject& object : objects) {
+      if (IsValid(object)) valid.push_back(object);
+    }
+    m_relay->SetRegistrations(valid, revision);
     m_next->OnList(objects, revision);
   }
   void OnChange(const FeedObject& object) override {
-    m_relay->UpdateRegistration(object);
+    FeedObject cached = object;
+    cached.deleted = object.deleted || !IsValid(object);
+    m_relay->UpdateRegistration(cached);
     m_next->OnChange(object);
   }
   void OnStoreCallFailed() override { m_next->OnStoreCallFailed(); }
 
  private:
+  bool IsValid(const FeedObject& object) const {
+    return m_codec->DecodeUpstream(object).has_value();
+  }
+
   FeedEvents* m_next;
   PeerRelay* m_relay;
+  const ObjectCodec* m_codec;
 };
 
 // Dispatches events of peers to one handler for agents and several for entries.
--- a/burdockhill/src/routing/routes.h
+++ b/burdockhill/src/routing/routes.h
@@ -73,6 +73,7 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  int skipped_entries = 0;  // Routes and services that could not be read.
 };
 
 }  // namespace burdockhill
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -70,7 +70,8 @@
 
 constexpr char kOneServer[] =
     R"({"items":[{"metadata":{"name":"u","revision":2},"spec":
-        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"version":"v1",
+         "coldRemainingMs":0,"seq":1,
          "state":"ready"}}],"hasMore":false,"asOf":5})";
 
 // A list of one upstream, as of this revision.
@@ -78,7 +79,8 @@
                    bool has_more = false) {
   return R"({"items":[{"metadata":{"name":")" + name + R"(","revision":)" +
          std::to_string(revision) + R"(},"spec":
-        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+        {"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"version":"v1",
+         "coldRemainingMs":0,"seq":1,
          "state":"ready"}}],"hasMore":)" +
          (has_more ? "true" : "false") + R"(,"asOf":)" +
          std::to_string(revision) + "}";
@@ -237,7 +239,8 @@
 constexpr char kLeavingEvent[] =
     R"({"events":[{"deleted":false,"object":{"metadata":{"name":"a",
         "revision":6},"spec":{"service":"s","address":"10.0.0.9:80",
-        "zone":"z","slots":1,"state":"draining"}}}],"asOf":7})";
+        "zone":"z","slots":1,"version":"v1",
+         "coldRemainingMs":0,"seq":1,"state":"draining"}}}],"asOf":7})";
 
 }  // namespace
 
@@ -287,6 +290,48 @@
   CHECK(m_directory.Find(UpstreamName("aa")) != nullptr);
 }
 
+// Guards against another writer's entry that hides the others of a list or a
+// watch, or that takes the place of an upstream at its address.
+TEST(ObjectFeed, AnUnreadableRegistrationCostsOnlyItself) {
+  const std::string deep = std::string(5000, '[') + std::string(5000, ']');
+  for (const std::string& odd :
+       {deep, std::string("1e400"), std::string(R"("\udcff")")}) {
+    SocketsFake sockets;
+    http::ConnectionPool pool(&sockets, &m_clock);
+    UpstreamDirectory directory;
+    UpstreamDirectoryUpdater updater(&directory, &m_object_codec, &m_clock,
+                                     &m_log);
+    ObjectFeed feed(
+        {"upstreams", "10.0.0.7:80", seconds(3), milliseconds(0), Duration(0)},
+        &m_feed_codec, &pool, &m_clock, &m_random, &m_log, &updater);
+    const auto answer = [&](const std::string& body) {
+      feed.Tick();
+      const SocketId id = sockets.OpenTo("10.0.0.7:80").back();
+      sockets.CompleteConnect(id);
+      sockets.Inject(id, HttpResponse(200, "", body));
+    };
+    const std::string entry =
+        R"({"metadata":{"name":"odd","revision":9},"spec":)" + odd + "}";
+    std::string list = ListOf("u", 9);
+    answer(list.insert(list.find('[') + 1, entry + ","));
+    CHECK(directory.HasList());
+    LONGS_EQUAL(1, directory.FindByService(ServiceName("s")).size());
+    CHECK(directory.FindByService(ServiceName("s")).front()->name ==
+          UpstreamName("u"));
+    std::string change = kLeavingEvent;
+    change.replace(change.find("[") + 1, 0,
+                   R"({"deleted":false,"object":)" + entry + "},");
+    change.replace(change.find(R"("asOf":7)"), 8, R"("asOf":10)");
+    answer(change);
+    CHECK(directory.Find(UpstreamName("a"))->leaving);
+    // An upstream whose entry becomes unreadable is not used any more.
+    answer(R"({"events":[{"deleted":false,"object":{"metadata":{"name":"u",
+              "revision":11},"spec":)" +
+           odd + R"(}}],"asOf":11})");
+    POINTERS_EQUAL(nullptr, directory.Find(UpstreamName("u")));
+  }
+}
+
 TEST(ObjectFeed, RefusedCallsAreRetriedWithBackoff) {
   int calls = 0;
   for (int i = 0; i < 500; ++i) {
@@ -454,7 +499,8 @@
     server.name = "u";
     server.revision = 2;
     server.content =
-        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"version":"v1",
+         "coldRemainingMs":0,"seq":1,
             "state":"ready"})";
     m_synced.relay.SetRegistrations({server}, 5);
     m_synced.updater.OnList({server}, 5);
@@ -495,6 +541,33 @@
   CHECK(!m_new.directory.HasList());
 }
 
+// Guards against another writer's entry, which may be as large as the store
+// allows, that is sent to peers among the registrations.
+TEST(PeerRelay, InvalidRegistrationsAreNotRelayed) {
+  platform::PlatformObjectCodec codec;
+  CachingRegistrationEvents caching(&m_synced.updater, &m_synced.relay, &codec);
+  FeedObject odd;
+  odd.name = "odd";
+  odd.revision = 7;
+  odd.content = std::string(1 << 20, '[');
+  FeedObject valid = odd;
+  valid.name = "u";
+  valid.content =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+          "version":"v1","coldRemainingMs":0,"seq":1,"state":"ready"})";
+  const auto relayed = [&] {
+    m_synced.peers.sent.clear();
+    m_synced.relay.OnMessage(VmName("new"), Registrations{true, {}, {}});
+    return std::get<Registrations>(m_synced.peers.sent.back().second).objects;
+  };
+  caching.OnList({odd, valid}, 8);
+  LONGS_EQUAL(1, relayed().size());
+  odd.name = "u";
+  odd.revision = 9;
+  caching.OnChange(odd);
+  LONGS_EQUAL(0, relayed().size());
+}
+
 // Guards against a peer that is told of a list as of a revision which only one
 // of its pages has, and of an upstream that leaves as it was before.
 TEST(PeerRelay, PeersAreToldTheRevisionAndTheNewestObjectsOfAList) {
@@ -502,13 +575,15 @@
   server.name = "u";
   server.revision = 7;  // Of a later page than the first.
   server.content =
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"version":"v1",
+         "coldRemainingMs":0,"seq":1,
           "state":"draining"})";
   m_synced.relay.SetRegistrations({server}, 5);
   FeedObject former = server;
   former.revision = 6;
   former.content =
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"version":"v1",
+         "coldRemainingMs":0,"seq":1,
           "state":"ready"})";
   m_synced.peers.sent.clear();
   m_synced.relay.OnMessage(VmName("new"), Registrations{true, {}, {}});
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -5,6 +5,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 using burdockhill::platform::PlatformEngineCodec;
 using burdockhill::platform::PlatformFeedCodec;
@@ -225,6 +229,33 @@
   LONGS_EQUAL(1000, configuration->limits.max_body_bytes);
 }
 
+// Guards against one unreadable route or service that keeps a configuration
+// from coming into force.
+TEST(ObjectCodec, UnreadableEntriesOfAConfigurationCostOnlyThemselves) {
+  const std::string deep = std::string(5000, '[') + std::string(5000, ']');
+  const std::string entries[] = {R"({"name":"\udcff"})", R"({"name":1e400})",
+                                 R"({"name":)" + deep + "}", "\"\xff\""};
+  for (const std::string& odd : entries) {
+    std::string text = R"({"odd":ODD,"version":7,"routes":[ODD,
+        {"name":"a","host":"h","pathPrefix":"/a/","kind":"safe",
+         "timeoutMs":1000,"service":"s"},ODD],
+        "services":[ODD,{"name":"s","maxConns":99999999999}],
+        "limits":{"maxBodyBytes":1000}})";
+    for (size_t at = text.find("ODD"); at != std::string::npos;
+         at = text.find("ODD")) {
+      text.replace(at, 3, odd);
+    }
+    const auto configuration =
+        m_codec.DecodeConfiguration(Object("main", text));
+    CHECK_TEXT(configuration.has_value(), odd.substr(0, 100).c_str());
+    LONGS_EQUAL(1, configuration->routes.size());
+    CHECK(configuration->services.back().name == ServiceName("s"));
+    CHECK(configuration->services.back().max_connections > 0);
+    LONGS_EQUAL(1000, configuration->limits.max_body_bytes);
+    CHECK(configuration->skipped_entries >= 2);
+  }
+}
+
 TEST(ObjectCodec, RejectsMalformedConfigurations) {
   for (const char* text :
        {"torn{", R"({"version":0,"routes":[],"services":[]})",
@@ -263,15 +294,66 @@
   CHECK(!m_codec.DecodePage("{}").has_value());
 }
 
-// Writing such an object again would overflow the stack.
-TEST(FeedCodec, SurvivesDeeplyNestedObjects) {
-  const std::string deep(200000, '[');
-  const std::string closed(200000, ']');
-  const std::string object =
-      R"({"metadata":{"name":"u","revision":3},"spec":{"x":)" + deep + closed +
-      "}}";
-  CHECK_FALSE(
-      m_codec.DecodePage(R"({"asOf":3,"items":[)" + object + "]}").has_value());
+namespace {
+
+// Texts in place of a spec that cannot be read, or nested so deeply that
+// writing them again would overflow the stack.
+std::vector<std::string> UnreadableTexts() {
+  return {std::string(200000, '[') + std::string(200000, ']'),
+          "1e400",
+          "-1e400",
+          R"("app\udcff\udcfe")",
+          "\"app\xff\xfe\"",
+          R"({"service":"a\u12"})",
+          "nonsense",
+          "\"control \x01\""};
+}
+
+}  // namespace
+
+// Guards against one unreadable entry that hides the others of its page, of a
+// list and of a watch.
+TEST(FeedCodec, AnUnreadableEntryCostsOnlyItself) {
+  for (const std::string& odd : UnreadableTexts()) {
+    const std::string before =
+        R"({"metadata":{"name":"a","revision":2},"spec":{"x":"]}\"["}})";
+    const std::string object =
+        R"({"metadata":{"name":"o","revision":3},"spec":)" + odd + "}";
+    const std::string after =
+        R"({"metadata":{"name":"z","revision":4},"spec":{}})";
+    const auto list =
+        m_codec.DecodePage(R"({"asOf":9,"items":[)" + before + "," + object +
+                           " , " + after + R"(],"hasMore":true})");
+    CHECK_TEXT(list.has_value(), odd.substr(0, 50).c_str());
+    LONGS_EQUAL(3, list->objects.size());
+    CHECK(list->is_list && list->has_more);
+    STRCMP_EQUAL(R"({"x":"]}\"["})", list->objects[0].content.c_str());
+    STRCMP_EQUAL("o", list->objects[1].name.c_str());
+    STRCMP_EQUAL("z", list->objects[2].name.c_str());
+    const auto watch = m_codec.DecodePage(
+        R"({"events":[{"deleted":false,"object":)" + object +
+        R"(},{"deleted":true,"object":)" + after + R"(}],"asOf":9})");
+    LONGS_EQUAL(2, watch->objects.size());
+    CHECK(!watch->is_list);
+    CHECK(!watch->objects[0].deleted && watch->objects[1].deleted);
+    const auto metadata =
+        m_codec.DecodePage(R"({"asOf":9,"items":[{"metadata":)" + odd +
+                           R"(,"spec":{}},)" + after + "]}");
+    LONGS_EQUAL(1, metadata->objects.size());
+    LONGS_EQUAL(1, metadata->unnamed_objects);
+  }
+}
+
+// Guards against a list that is not continued after a name that cannot be read,
+// and a name that ends the request line.
+TEST(FeedCodec, ListsAreContinuedAfterAnyName) {
+  const auto page = m_codec.DecodePage(
+      R"({"asOf":9,"items":[{"metadata":{"name":"a\udcff b","revision":2}}]})");
+  LONGS_EQUAL(1, page->objects.size());
+  CHECK(page->objects[0].name > "a");
+  CHECK(page->objects[0].name < "b");
+  STRCMP_CONTAINS("?after=a%20b%0D%0A%C3%A9 HTTP/1.1\r\n",
+                  m_codec.EncodeList("a b\r\n\xc3\xa9", false).c_str());
 }
 
 TEST_GROUP(EngineCodec) { PlatformEngineCodec m_codec; };
