Registrations that lack a field name no upstream

What callers would see: refusals although an upstream is there.

Cause: only the service, the address, the state and the slots of a registration were checked, not the other fields, nor the range of the slots. Evidence: RejectsMalformedRegistrations failed before for missing zones, versions, seq and coldRemainingMs and for slots of -1 and 1e300; AnUnreadableRegistrationCostsOnlyItself for an incomplete copy.

Fixtures and the soak write whole registrations now.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -233,10 +233,11 @@
   void Register(const std::string& name, const std::string& service,
                 const std::string& host, const std::string& state,
                 const std::string& stage) {
-    json spec = {{"service", service}, {"address", host + ":8080"},
-                 {"zone", "z"},        {"slots", 64},
-                 {"state", state},     {"born", 1000},
-                 {"seq", ++m_writes}};
+    json spec = {{"service", service},  {"address", host + ":8080"},
+                 {"zone", "z"},         {"slots", 64},
+                 {"state", state},      {"born", 1000},
+                 {"seq", ++m_writes},   {"version", "v1"},
+                 {"coldRemainingMs", 0}};
     // An upstream that was leaving starts again.
     if (m_registrations.contains(name) && state == "ready") {
       spec["born"] = 1000 + m_writes;
--- a/tests/gateway_test_feeds.cc
+++ b/tests/gateway_test_feeds.cc
@@ -295,7 +295,9 @@
 TEST(ObjectFeed, AnUnreadableRegistrationCostsOnlyItself) {
   const std::string deep = std::string(5000, '[') + std::string(5000, ']');
   for (const std::string& odd :
-       {deep, std::string("1e400"), std::string(R"("\udcff")")}) {
+       {deep, std::string("1e400"), std::string(R"("\udcff")"),
+        std::string(R"({"service":"s","address":"10.0.0.9:80","slots":1,
+                        "state":"ready"})")}) {
     SocketsFake sockets;
     http::ConnectionPool pool(&sockets, &m_clock);
     UpstreamDirectory directory;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -189,15 +189,56 @@
   LONGS_EQUAL(3, upstream->revision.number);
 }
 
+// `kServer` with `from` replaced by `to`.
+std::string ServerWith(const std::string& from, const std::string& to) {
+  std::string text = kServer;
+  const size_t at = text.find(from);
+  CHECK_TEXT(at != std::string::npos, from.c_str());
+  return text.replace(at, from.size(), to);
+}
+
+// Guards against another writer's entry that names an upstream to use, or takes
+// the place of the upstream at its address.
 TEST(ObjectCodec, RejectsMalformedRegistrations) {
-  for (
-      const char* text :
-      {"torn{", "[]", "{}", R"({"service":"s"})",
-       R"({"service":5,"address":"10.0.0.9:80","zone":"z","slots":1,"state":"ready"})",
-       R"({"service":"s","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
-       R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"odd"})",
-       R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"1","state":"ready"})",
-       R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1,"state":"ready","stage":"x"})"}) {
+  const std::string deep = std::string(5000, '[') + std::string(5000, ']');
+  const std::pair<const char*, std::string> changes[] = {
+      {R"("service":"s",)", ""},
+      {R"("service":"s")", R"("service":5)"},
+      {R"("service":"s")", "\"service\":\"s\xff\""},
+      {R"("service":"s")", R"("service":"s\udcff")"},
+      {R"("service":"s")", R"("service":)" + deep},
+      {R"("address":"10.0.0.9:80",)", ""},
+      {"10.0.0.9:80", "nowhere"},
+      {"10.0.0.9:80", "10.0.0.9:65536"},
+      {"10.0.0.9:80", "10.0.0.9:65616"},
+      {"10.0.0.9:80", "10.0.0.9:0"},
+      {"10.0.0.9:80", "10.0.0.9:-1"},
+      {"10.0.0.9:80", "10.0.0.9"},
+      {R"("zone":"z",)", ""},
+      {R"("zone":"z")", R"("zone":null)"},
+      {R"("version":"v1",)", ""},
+      {R"("version":"v1")", R"("version":1)"},
+      {R"("slots":64,)", ""},
+      {"64", R"("64")"},
+      {"64", "-1"},
+      {"64", "1e400"},
+      {"64", "1e300"},
+      {"64", "1.5"},
+      {R"("state":"ready",)", ""},
+      {R"("ready")", R"("odd")"},
+      {R"("coldRemainingMs":0,)", ""},
+      {R"("coldRemainingMs":0)", R"("coldRemainingMs":"0")"},
+      {R"("stage":"decode")", R"("stage":"x")"},
+      {R"("seq":4)", R"("seq":[])"},
+      {R"("seq":4)", R"("more":4)"},
+      {R"("born":1700000000000)", R"("born":1700000000000.5)"},
+      {R"("born":1700000000000)", R"("born":"x")"}};
+  for (const auto& [from, to] : changes) {
+    const std::string text = ServerWith(from, to);
+    CHECK_TEXT(!m_codec.DecodeUpstream(Object("i-1", text)).has_value(),
+               text.substr(0, 300).c_str());
+  }
+  for (const char* text : {"torn{", "[]", "{}", "", "\"x\""}) {
     CHECK_TEXT(!m_codec.DecodeUpstream(Object("i-1", text)).has_value(), text);
   }
 }
