One unreadable run does not hide an engine's report

What callers would see: refusals by an engine that has room. A report of an engine lists the ids of its requests as callers have sent them. An id with bytes that are no text made the whole report unreadable for as long as that request ran; its agent took the engine for lost.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -424,6 +424,19 @@
   CHECK_FALSE(m_codec.DecodeReport("\xff\xfe").has_value());
 }
 
+// Guards against an id of one caller that makes a whole report unreadable, so
+// that its engine counts as lost.
+TEST(EngineCodec, AnUnreadableRunCostsOnlyItself) {
+  for (const std::string& odd : UnreadableTexts()) {
+    const auto report = m_codec.DecodeReport(
+        R"({"stage":"decode","kvTotal":90000,"odd":)" + odd + R"(,"runs":[[)" +
+        odd + R"(,5],["id",5000,3,5]]})");
+    CHECK_TEXT(report.has_value(), odd.substr(0, 50).c_str());
+    LONGS_EQUAL(90000, report->kv_capacity.Value());
+    LONGS_EQUAL(1, report->runs.size());
+  }
+}
+
 TEST(EngineCodec, RoleOrdersNameTheEngineAndTheOrdersAccepted) {
   const std::string order =
       m_codec.EncodeRoleOrder(Engine(), EngineRole::kDecode, 4, VmName("vm-1"));
