--- a/burdockhill/src/http/message.cc
+++ b/burdockhill/src/http/message.cc
@@ -58,6 +58,12 @@
                     });
 }
 
+bool IsFieldText(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c <= '~';
+  });
+}
+
 std::optional<int64_t> ParseNumber(std::string_view text) {
   if (text.empty() || text.front() == '-') return std::nullopt;
   int64_t value = 0;
--- a/burdockhill/src/http/message.h
+++ b/burdockhill/src/http/message.h
@@ -48,6 +48,10 @@
 
 bool EqualsIgnoringCase(std::string_view left, std::string_view right);
 
+// Whether the text can be a part of a header field or of a target: visible
+// ASCII characters only, and at least one.
+bool IsFieldText(std::string_view text);
+
 // Parses a non-negative decimal number. Returns nullopt for an empty text, a
 // sign, white space or overflow.
 std::optional<int64_t> ParseNumber(std::string_view text);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -176,6 +176,9 @@
   STRCMP_EQUAL("10.0.0.9:80", kv->engine_address.c_str());
   CHECK(!m_codec.DecodePrefill(Engine(), "torn{").has_value());
   CHECK(!m_codec.DecodePrefill(Engine(), R"({"kvHandle":5})").has_value());
+  // Would end the header field in which the handle is passed on.
+  CHECK(!m_codec.DecodePrefill(Engine(), R"({"kvHandle":"3f\r\nX: y"})")
+             .has_value());
 }
 
 TEST_GROUP(ObjectCodec) { PlatformObjectCodec m_codec; };
@@ -243,6 +246,14 @@
   }
 }
 
+// Guards against a name that ends the header field in which calls name it.
+TEST(ObjectCodec, RejectsNamesThatAreNoFieldText) {
+  for (const char* name : {"i 1", "i\r\nX: y", "i\xef\xbf\xbd", "i\x01"}) {
+    CHECK_TEXT(!m_codec.DecodeUpstream(Object(name, kServer)).has_value(),
+               name);
+  }
+}
+
 TEST(ObjectCodec, DecodesTheConfiguration) {
   const auto configuration = m_codec.DecodeConfiguration(Object("main", R"({
     "version":7,
