One unreadable object does not hide a watch of the product's own store

What operators would see: no change comes into force any more, and VMs that start are not found, for as long as one object or VM cannot be read.

Cause: an answer was parsed as one document, and one entry of another type made it count as no answer. Evidence: on the former client, objects with a version of 1e400 or a lone surrogate made the whole answer unreadable (the parser is the one of the store's pages on the platform). Change: entries are read each by itself; what is left out is logged as a warning.

--- a/burdockhill/src/adapters/platform_client.cc
+++ b/burdockhill/src/adapters/platform_client.cc
@@ -1,8 +1,12 @@
 #include "burdockhill/src/adapters/platform_client.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
 #include <utility>
+#include <vector>
 
+#include "burdockhill/src/resources/json_text.h"
 #include "burdockhill/src/resources/untrusted_json.h"
 
 namespace burdockhill {
@@ -70,6 +74,27 @@
   return StoreStatus::kOk;
 }
 
+// Reads the elements of the array `name` of a response, each by itself. Returns
+// nullopt if the response has no such array.
+template <typename T>
+std::optional<std::vector<T>> ReadEntries(const std::string& body,
+                                          const char* name,
+                                          T (*read)(const json&),
+                                          const PlatformClient::Warn& warn) {
+  const auto elements = JsonElements(JsonMember(body, name).value_or(""));
+  if (!elements.has_value()) return std::nullopt;
+  std::vector<T> entries;
+  for (const std::string_view element : *elements) {
+    try {
+      entries.push_back(read(ParseUntrustedJson(element)));
+    } catch (const json::exception& error) {
+      warn("An entry of \"" + std::string(name) +
+           "\" cannot be read and is left out: " + error.what());
+    }
+  }
+  return entries;
+}
+
 uint64_t ParseVersion(const json& document) {
   return document.at("version").get<uint64_t>();
 }
@@ -117,45 +142,38 @@
   for (const std::string& kind : kinds) {
     joined += (joined.empty() ? "" : ",") + kind;
   }
-  struct Changes {
-    std::vector<StoredObject> objects;
-    uint64_t revision = 0;
-  };
   SendRequest(
       "GET",
       "/v1/watch?kinds=" + joined + "&since=" + std::to_string(since) +
           "&wait_ms=" + std::to_string(kWatchWaitMs),
       "",
-      [done = std::move(done)](StoreStatus status, const std::string& body) {
-        Changes changes;
-        status = ParseResponse<Changes>(
-            status, body, &changes, [](const json& text) {
-              Changes read;
-              read.revision = text.at("revision").get<uint64_t>();
-              for (const json& item : text.at("objects")) {
-                read.objects.push_back(ParseObject(item));
-              }
-              return read;
-            });
-        done(status, changes.objects, changes.revision);
+      [done = std::move(done), warn = m_warn](StoreStatus status,
+                                              const std::string& body) {
+        uint64_t revision = 0;
+        const json number =
+            ParseUntrustedJson(JsonMember(body, "revision").value_or(""));
+        if (number.is_number_unsigned()) revision = number.get<uint64_t>();
+        std::optional<std::vector<StoredObject>> objects;
+        if (status == StoreStatus::kOk) {
+          objects = ReadEntries(body, "objects", &ParseObject, warn);
+          const bool valid = objects.has_value() && number.is_number_unsigned();
+          if (!valid) status = StoreStatus::kUnavailable;
+        }
+        done(status, objects.value_or(std::vector<StoredObject>()), revision);
       });
 }
 
 void PlatformClient::ListVms(ListDone done) {
-  SendRequest(
-      "GET", "/v1/vms", "",
-      [done = std::move(done)](StoreStatus status, const std::string& body) {
-        std::vector<ListedVm> vms;
-        status = ParseResponse<std::vector<ListedVm>>(
-            status, body, &vms, [](const json& text) {
-              std::vector<ListedVm> read;
-              for (const json& item : text.at("vms")) {
-                read.push_back(ParseVm(item));
-              }
-              return read;
-            });
-        done(status, vms);
-      });
+  SendRequest("GET", "/v1/vms", "",
+              [done = std::move(done), warn = m_warn](StoreStatus status,
+                                                      const std::string& body) {
+                std::optional<std::vector<ListedVm>> vms;
+                if (status == StoreStatus::kOk) {
+                  vms = ReadEntries(body, "vms", &ParseVm, warn);
+                  if (!vms.has_value()) status = StoreStatus::kUnavailable;
+                }
+                done(status, vms.value_or(std::vector<ListedVm>()));
+              });
 }
 
 void PlatformClient::SendRequest(
--- a/burdockhill/src/adapters/platform_client.h
+++ b/burdockhill/src/adapters/platform_client.h
@@ -1,7 +1,9 @@
 #ifndef BURDOCKHILL_SRC_ADAPTERS_PLATFORM_CLIENT_H_
 #define BURDOCKHILL_SRC_ADAPTERS_PLATFORM_CLIENT_H_
 
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "burdockhill/src/http/http_client.h"
 #include "burdockhill/src/store/object_store.h"
@@ -9,11 +11,15 @@
 namespace burdockhill {
 
 // HTTP client for the platform's object store and its list of VMs. See
-// docs/platform-api.md.
+// docs/platform-api.md. An entry that cannot be read is left out; the others of
+// its answer are not affected.
 class PlatformClient : public ObjectStore {
  public:
-  PlatformClient(HttpClient* client, const Address& platform)
-      : m_client(client), m_platform(platform) {}
+  // Called with a message for the log.
+  using Warn = std::function<void(const std::string& message)>;
+
+  PlatformClient(HttpClient* client, const Address& platform, Warn warn)
+      : m_client(client), m_platform(platform), m_warn(std::move(warn)) {}
 
   void Get(const ResourceKey& key, GetDone done) override;
   void Put(const ResourceKey& key, const std::string& value,
@@ -35,6 +41,7 @@
 
   HttpClient* m_client;
   Address m_platform;
+  Warn m_warn;
   uint64_t m_call_count = 0;
 };
 
--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -99,7 +99,9 @@
   WatchStopSignals(&loop);
   PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
   HttpClient client(&loop);
-  PlatformClient platform(&client, *ParseAddress(settings.platform));
+  PlatformClient platform(
+      &client, *ParseAddress(settings.platform),
+      [](const std::string& message) { LogWarning("store", message); });
   CallerApi callers(&random);
   OperatorsApi operators;
   EntryCore core({settings.vm, settings.zone, settings.region, incarnation},
