--- a/tests/http_test_sockets.cc
+++ b/tests/http_test_sockets.cc
@@ -110,6 +110,16 @@
   STRCMP_EQUAL("whole", result.body.c_str());
 }
 
+// Shows that a second copy of a response, late on its connection, is not taken
+// for the response to the next call: each call has its own connection.
+TEST(HttpClient, ALateCopyOfAResponseIsNotThatToTheNextCall) {
+  const std::string refusal = "HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy";
+  STRCMP_EQUAL("busy", FetchFrom(refusal + refusal, false).body.c_str());
+  const FetchResult next = FetchFrom(
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", /*reset=*/false);
+  STRCMP_EQUAL("done", next.body.c_str());
+}
+
 TEST_GROUP(HttpServer) {
   EventLoop loop;
   Echo echo;
