A stream of the product's own API that fails is aborted

Cause: OnError wrote the error as a last event and ended the stream. Evidence: test AStreamThatFailsIsAborted failed before: the client reported a complete response.

--- a/burdockhill/src/adapters/caller_api.cc
+++ b/burdockhill/src/adapters/caller_api.cc
@@ -125,12 +125,13 @@
 void CallerApi::OnError(RequestId id, const RequestError& error) {
   const OpenRequest* open = m_open_requests.Find(id);
   if (open == nullptr) return;
-  const std::string body = ErrorBody(id, error);
+  // An error among the events would be taken for output, and the end of the
+  // stream for its completion.
   if (open->head_sent) {
-    m_server->WriteStream(open->exchange, "data: " + body + "\n\n");
-    m_server->EndStream(open->exchange);
+    m_server->Abort(open->exchange);
     return ForgetRequest(id, *open);
   }
+  const std::string body = ErrorBody(id, error);
   HttpHeaders headers = RequestIdHeaders(id);
   const std::string retry_after = RetryAfterSeconds(error);
   if (!retry_after.empty()) headers.emplace_back("retry-after", retry_after);
