--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -135,6 +135,7 @@
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
+  if (connection->is_streaming) return Abort(id);
   const bool keep_alive = connection->reader.MessageHead().keep_alive &&
                           !connection->input_ended && !m_keep_alive_disabled;
   std::string bytes = FormatResponse(head, body.size(), keep_alive);
@@ -149,6 +150,7 @@
   if (connection == nullptr) return;
   const bool keep_alive = connection->reader.MessageHead().keep_alive &&
                           !connection->input_ended && !m_keep_alive_disabled;
+  connection->is_streaming = true;
   m_sockets->Write(socket, FormatResponse(head, std::nullopt, keep_alive));
 }
 
@@ -180,6 +182,7 @@
   if (connection == nullptr) return;
   m_exchanges.Erase(id);
   connection->exchange = ExchangeId();
+  connection->is_streaming = false;
   if (!keep_alive) {
     RemoveConnection(socket);
     m_sockets->CloseGracefully(socket);
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -59,7 +59,9 @@
 
   // An exchange that is no longer open is ignored by the functions below.
 
-  // Sends a response with a complete body.
+  // Sends a response with a complete body. Aborts an exchange whose response
+  // has started as a stream, since the caller would find the head inside the
+  // body.
   void Respond(ExchangeId id, const Head& head, std::string_view body);
   // Starts a chunked response.
   void StartStream(ExchangeId id, const Head& head);
@@ -84,9 +86,10 @@
     MessageReader reader;
     std::string pipelined;  // Bytes received after the current request.
     ExchangeId exchange;
-    TimePoint wait_start{};    // Start of the current wait for input.
-    size_t body_bytes = 0;     // Share of m_total_body_bytes.
-    bool input_ended = false;  // The caller has closed its sending side.
+    TimePoint wait_start{};     // Start of the current wait for input.
+    size_t body_bytes = 0;      // Share of m_total_body_bytes.
+    bool input_ended = false;   // The caller has closed its sending side.
+    bool is_streaming = false;  // The response has started as a stream.
     explicit Connection(size_t max_header)
         : reader(MessageKind::kRequest, max_header) {}
   };
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -254,6 +254,21 @@
   CHECK(m_sockets.GetConnection(id).was_reset);
 }
 
+// Guards against a response whose head comes in the middle of a stream.
+TEST(Server, AResponseInsideAStreamAbortsIt) {
+  m_events.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  http::Head head;
+  head.status = 200;
+  m_server.StartStream(m_events.last_exchange, head);
+  m_server.WriteStream(m_events.last_exchange, "part");
+  m_sockets.DrainOutput(id);
+  m_server.Respond(m_events.last_exchange, head, "error");
+  STRCMP_EQUAL("", m_sockets.DrainOutput(id).c_str());
+  CHECK(m_sockets.GetConnection(id).was_reset);
+}
+
 TEST(Server, ClosesConnectionsOnceKeepAliveIsDisabled) {
   const SocketId id = m_sockets.ConnectAsCaller(kCallers);
   m_server.DisableKeepAlive();
