Requests that have run are not refused for lack of a socket

What callers would see: a whole 503 response, head included, in the middle of a stream that had begun; before its first event, 503, which promises that nothing ran, for a stream that ran (REFUSED). The same for idempotent plain calls, in place of the answer that was there.

Cause: FailOverloaded relied on its callers to look whether the stream had run, and those that found no socket did not. Evidence: AStreamThatCannotBeResumedIsAborted and RequestsThatHaveRunAreNotRefusedForLackOfASocket failed before.

Change: FailOverloaded itself ends a stream that may have run as unknown; a plain call without a socket ends like one without an upstream, which delivers the former answer.

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -172,8 +172,6 @@
   routed.last_upstream = upstream->name;
   request->tried_upstreams.insert(upstream->name);
   request->call_started_at = now;
-  request->response_body.clear();
-  request->has_failed_response = false;
   request->call = m_board->connections->Start(
       upstream->address,
       m_board->codec->EncodeCall(routed.request, *upstream, call), this,
@@ -183,10 +181,12 @@
                    request->tried_upstreams.size() > 1);
   if (!request->call.IsValid()) {
     RecordCallEnd(request, CallResult::kUnreachable);
-    FailRequest(m_board, routed, ErrorKind::kOverloaded, Duration(0),
-                "no socket");
-    return FinishRequest(routed.exchange);
+    m_board->log->Write("no_socket", {{"request", routed.request.id},
+                                      {"upstream", upstream->name.Value()}});
+    return EndUnplaced(request);
   }
+  request->response_body.clear();
+  request->has_failed_response = false;
   m_exchanges_by_call.FindOrInsert(request->call, routed.exchange);
 }
 
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -199,10 +199,6 @@
   // prompts on the decode engine, so the decode engine computes the prompt now.
   // Waiting would not help, since no agent could grant the prompt later.
   if (is_prefill && kind == ErrorKind::kNoUpstream) return StartDecode(stream);
-  if (stream->may_have_run) {
-    return FailUnknown(stream, ErrorKind::kUpstreamFailed,
-                       "no engine to resume on");
-  }
   FailOverloaded(
       stream, retry_after,
       is_prefill ? "no prefill engine has time" : "no engine has room in time");
@@ -272,11 +268,7 @@
 }
 
 void StreamCalls::FailUnpaid(Stream* stream) {
-  constexpr std::string_view kReason = "the retry budget is spent";
-  if (stream->may_have_run) {
-    return FailUnknown(stream, ErrorKind::kUpstreamFailed, kReason);
-  }
-  FailOverloaded(stream, Duration(0), kReason);
+  FailOverloaded(stream, Duration(0), "the retry budget is spent");
 }
 
 LocalPrefill StreamCalls::DecideLocalPrefill(const Stream& stream) const {
@@ -556,9 +548,6 @@
                          now < routed.deadline &&
                          PayForRetries(stream, stream->calls.DueBeforeDecode());
   if (may_retry) return ReserveDecodeEngine(stream);
-  if (stream->may_have_run) {
-    return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
-  }
   FailOverloaded(stream, Duration(0), reason);
 }
 
@@ -657,6 +646,9 @@
 
 void StreamCalls::FailOverloaded(Stream* stream, Duration retry_after,
                                  std::string_view reason) {
+  if (stream->may_have_run) {
+    return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
+  }
   ReleaseAttempt(stream);
   if (retry_after == Duration(0)) {
     retry_after = m_permits->RetryAfter(stream->routed.service);
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -154,7 +154,8 @@
   void ReleaseAttempt(Stream* stream);
   // Whether the decode engine may compute the prompt, and after what delay.
   LocalPrefill DecideLocalPrefill(const Stream& stream) const;
-  // Ends the stream with a response that tells the caller to retry later.
+  // Ends the stream with a response that tells the caller to retry later, or,
+  // if it may have run, as FailUnknown does.
   void FailOverloaded(Stream* stream, Duration retry_after,
                       std::string_view reason);
   // Ends a stream that may have run: with an error response, or, once its head
--- a/emulation/sockets_fake.cc
+++ b/emulation/sockets_fake.cc
@@ -17,6 +17,7 @@
 }
 
 SocketId SocketsFake::Connect(const Address& address, SocketEvents* events) {
+  if (!m_has_sockets) return SocketId();
   const SocketId id(++m_last_id);
   Connection& connection = m_connections.FindOrInsert(id);
   connection.address = FormatAddress(address);
--- a/emulation/sockets_fake.h
+++ b/emulation/sockets_fake.h
@@ -46,6 +46,8 @@
   void Fail(SocketId id);
   // Completes an outgoing connection attempt.
   void CompleteConnect(SocketId id);
+  // Whether a new connection can be attempted.
+  void SetHasSockets(bool has_sockets) { m_has_sockets = has_sockets; }
   // Returns the bytes written since the last call.
   std::string DrainOutput(SocketId id);
   // Sets the number of written bytes that the remote end has not yet read.
@@ -65,6 +67,7 @@
   std::map<SocketId, size_t> m_pending;
   Table<SocketId, Connection> m_connections;
   uint64_t m_last_id = 0;
+  bool m_has_sockets = true;
 };
 
 }  // namespace burdockhill::emulation
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -223,6 +223,29 @@
   STRCMP_CONTAINS("whole", m_sockets.DrainOutput(caller).c_str());
 }
 
+// Guards against 'not run' for a request that has run, when no socket is left
+// for another upstream.
+TEST(Gateway, RequestsThatHaveRunAreNotRefusedForLackOfASocket) {
+  for (const bool answered : {true, false}) {
+    const SocketId caller = Post("/safe/x");
+    const SocketId upstream = EstablishPlain();
+    m_sockets.SetHasSockets(false);
+    if (answered) {
+      m_sockets.Inject(upstream, HttpResponse(500,
+                                              "X-Request-Id: r1\r\n"
+                                              "X-Response-Seal: seal\r\n",
+                                              "sorry"));
+    } else {
+      m_sockets.Fail(upstream);
+    }
+    m_sockets.SetHasSockets(true);
+    const std::string response = m_sockets.DrainOutput(caller);
+    STRCMP_CONTAINS(answered ? "HTTP/1.1 500" : "HTTP/1.1 502",
+                    response.c_str());
+    CHECK(m_gateway.IsIdle());
+  }
+}
+
 TEST(Gateway, IdempotentCallsAreRetriedIfAnUpstreamDoesNotAnswer) {
   const SocketId caller = Post("/safe/x");
   const SocketId first = EstablishPlain();
--- a/tests/gateway_test_streams.cc
+++ b/tests/gateway_test_streams.cc
@@ -160,6 +160,97 @@
   CHECK(rest.find("HTTP/1.1") == std::string::npos);  // Only one response head.
 }
 
+// Guards against an error response inside of a stream that has begun, and
+// against 'not run' for one that has run, when no socket is left to resume it.
+TEST(Streams, AStreamThatCannotBeResumedIsAborted) {
+  for (const bool head_sent : {true, false}) {
+    for (const bool at_prefill : {true, false}) {
+      SocketId caller;
+      const std::string path =
+          "/resume/" + std::to_string(2 * int{head_sent} + int{at_prefill});
+      const SocketId decode = head_sent ? StartStream(path, &caller)
+                                        : StartDecodeCall(path, &caller);
+      const std::string before = m_sockets.DrainOutput(caller);
+      m_peer_link.sent.clear();
+      m_sockets.Fail(decode);
+      CHECK(GrantLatest<ReserveDecode>());
+      for (const char* address : {kPrefill, kDecodeOne, kDecodeTwo}) {
+        for (const SocketId id : m_sockets.OpenTo(address)) m_sockets.Fail(id);
+      }
+      if (at_prefill) m_sockets.SetHasSockets(false);
+      CHECK(GrantLatest<ReservePrefill>());
+      if (!at_prefill) {
+        const SocketId prefill = EstablishTo(kPrefill);
+        m_sockets.SetHasSockets(false);
+        m_sockets.Inject(prefill, HttpResponse(200, "X-Request-Id: r1\r\n",
+                                               R"({"kvHandle":"k2"})"));
+      }
+      const std::string after = m_sockets.DrainOutput(caller);
+      if (head_sent) {
+        STRCMP_EQUAL("", after.c_str());
+        CHECK(m_sockets.GetConnection(caller).was_reset);
+      } else {
+        STRCMP_CONTAINS("HTTP/1.1 502", after.c_str());
+      }
+      CHECK(m_gateway.IsIdle());
+      m_sockets.SetHasSockets(true);
+      AdvanceTime(seconds(2));
+    }
+  }
+}
+
+// Guards against the answer of the next engine, an error, in the middle of a
+// stream that broke off, or a stream that ends as if it were complete.
+TEST(Streams, AnErrorOfTheNextEngineIsNoPartOfAStream) {
+  const std::string answers[] = {
+      HttpResponse(500, "X-Request-Id: r1\r\n", "error text"),
+      HttpResponse(500,
+                   "X-Request-Id: r1\r\nContent-Type: text/event-stream\r\n",
+                   "id: 2\ndata: error\n\n"),
+      HttpResponse(503, "X-Request-Id: r1\r\n", "error text"),
+      HttpResponse(429, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "no"),
+      HttpResponse(200,
+                   "X-Request-Id: r1\r\nContent-Type: application/json\r\n",
+                   R"({"error":"text"})"),
+      HttpResponse(200, "X-Request-Id: r1\r\n", "error text")};
+  int streams = 0;
+  for (const std::string& answer : answers) {
+    SocketId caller;
+    for (int i = 0; i < 50; ++i) {  // So that the budget allows retries.
+      m_board.retry_budget.CountRequest(ServiceName("llm"), m_clock.Now());
+    }
+    // Different requests, as one that ends many connections is barred.
+    const SocketId decode =
+        StartStream("/resume/" + std::to_string(++streams), &caller);
+    m_sockets.DrainOutput(caller);
+    m_peer_link.sent.clear();
+    m_sockets.Fail(decode);
+    int answers = 0;
+    for (int i = 0; i < 20; ++i) {
+      GrantLatest<ReserveDecode>();
+      GrantLatest<ReservePrefill>();
+      m_peer_link.sent.clear();
+      for (const SocketId id : m_sockets.AllOutgoing()) {
+        if (!m_sockets.GetConnection(id).open) continue;
+        m_sockets.CompleteConnect(id);
+        const std::string request = m_sockets.DrainOutput(id);
+        if (!request.starts_with("POST")) continue;
+        const bool prefills = request.find("X-Stage") != std::string::npos;
+        answers += prefills ? 0 : 1;
+        m_sockets.Inject(id, prefills
+                                 ? HttpResponse(200, "X-Request-Id: r1\r\n",
+                                                R"({"kvHandle":"k2"})")
+                                 : answer);
+      }
+    }
+    CHECK(answers > 0);
+    AdvanceTime(seconds(12));  // Past the deadline and the back-off of engines.
+    STRCMP_EQUAL("", m_sockets.DrainOutput(caller).c_str());
+    CHECK(m_sockets.GetConnection(caller).was_reset);
+    CHECK(m_gateway.IsIdle());
+  }
+}
+
 TEST(Streams, ReservationsAreReleasedIfTheCallerDisconnects) {
   const SocketId caller = Post("/stream/x");
   CHECK(GrantLatest<ReserveDecode>());
