Upstreams that state that they leave, or want no requests for a time, get none

- platform/ decodes both fields.
- UpstreamDirectory holds what a process has stated about leaving, whatever its registration says, also over an expiry; a later process under that name or address starts anew.
All that looks at leaving upstreams follows: plain calls, both phases of streams, resumed and repeated calls.
- UpstreamPauses (routing/) holds until when each process wants no requests.
- Answers that are skipped, as they are for other requests, and 421, which another process gives, say nothing.
A late answer of a former process says nothing about the present one.
- If all upstreams of a service pause, a request waits only if the first is back in time for its target.
Else it is rejected at once, and Retry-After is the time until then.
- The release of a KV cache still reaches such an engine: it runs nothing and frees memory.

--- a/burdockhill/routing.h
+++ b/burdockhill/routing.h
@@ -22,5 +22,6 @@
 #include "burdockhill/src/routing/stream_budget.h"       // IWYU pragma: export
 #include "burdockhill/src/routing/stream_call_count.h"   // IWYU pragma: export
 #include "burdockhill/src/routing/upstream_directory.h"  // IWYU pragma: export
+#include "burdockhill/src/routing/upstream_pauses.h"     // IWYU pragma: export
 
 #endif  // BURDOCKHILL_ROUTING_H_
--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -69,6 +69,10 @@
   std::string request_id;
   bool not_run = false;  // The upstream guarantees that nothing ran.
   RateLimitValue rate_limit;
+  bool leaving = false;  // The upstream will end soon.
+  // Time for which the upstream wants no requests from this entry; zero if it
+  // says nothing about that.
+  Duration pause{0};
 };
 
 // Decodes HTTP requests of callers and encodes calls to upstreams, following
--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -22,11 +22,11 @@
                                         board->clock->Now());
 }
 
+namespace {
+
 void RecordRateLimit(EntryBoard* board, const RoutedRequest& routed,
                      const http::Head& response,
                      const ResponseMetadata& metadata, TimePoint called_at) {
-  // Another upstream has the address.
-  if (response.status == http::kMisdirected) return;
   const UpstreamName& upstream = routed.last_upstream;
   // A failure without a limit does not say that the limit has ended.
   const bool failed = metadata.not_run || response.status >= kFirstErrorStatus;
@@ -42,6 +42,39 @@
                      {"requests_per_second", metadata.rate_limit.value_or(0)}});
 }
 
+void RecordLeaving(EntryBoard* board, const RoutedRequest& routed) {
+  const bool is_new = board->upstreams.RecordLeaving(
+      routed.last_upstream, routed.last_upstream_started_at_ms);
+  if (!is_new) return;
+  board->log->Write("upstream_states_leaving",
+                    {{"upstream", routed.last_upstream.Value()},
+                     {"request", routed.request.id}});
+}
+
+void RecordPause(EntryBoard* board, const RoutedRequest& routed,
+                 Duration pause) {
+  const bool is_new = board->pauses.Record(routed.last_upstream,
+                                           routed.last_upstream_started_at_ms,
+                                           pause, board->clock->Now());
+  if (!is_new) return;
+  board->log->Write("upstream_pauses",
+                    {{"upstream", routed.last_upstream.Value()},
+                     {"request", routed.request.id},
+                     {"pause_ms", Milliseconds(pause)}});
+}
+
+}  // namespace
+
+void RecordStatements(EntryBoard* board, const RoutedRequest& routed,
+                      const http::Head& response,
+                      const ResponseMetadata& metadata, TimePoint called_at) {
+  // Another upstream has the address.
+  if (response.status == http::kMisdirected) return;
+  RecordRateLimit(board, routed, response, metadata, called_at);
+  if (metadata.leaving) RecordLeaving(board, routed);
+  RecordPause(board, routed, metadata.pause);
+}
+
 void CountLimitedCall(EntryBoard* board, const RoutedRequest& routed,
                       const UpstreamName& upstream, bool is_retry) {
   if (!board->rate_limits.Find(upstream).has_value()) return;
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -13,6 +13,7 @@
 #include "burdockhill/src/routing/route_table.h"
 #include "burdockhill/src/routing/stated_rate_limits.h"
 #include "burdockhill/src/routing/upstream_directory.h"
+#include "burdockhill/src/routing/upstream_pauses.h"
 
 namespace burdockhill {
 
@@ -30,6 +31,7 @@
   PromptPartQuarantine prompt_parts;
   PlainPlacement placement;
   StatedRateLimits rate_limits;
+  UpstreamPauses pauses;
   MetricsRegistry metrics;
   bool leaving = false;  // A graceful shutdown has begun.
   // Requests whose deadline is later are refused. Zero until the load balancer
@@ -57,6 +59,7 @@
   TimePoint deadline{};  // Earlier of the route's and the caller's timeout.
   // Upstream of the latest call; invalid before the first one.
   UpstreamName last_upstream;
+  int64_t last_upstream_started_at_ms = 0;  // See RegisteredUpstream.
 
   Duration TimeLeft(TimePoint now) const { return deadline - now; }
   RequestFingerprint Fingerprint() const {
@@ -78,11 +81,12 @@
 // have crashed, so that it must not reach another one.
 bool IsBarred(EntryBoard* board, const RoutedRequest& routed);
 
-// Records whether the upstream of a call that began at `called_at` states a
-// rate limit in its response.
-void RecordRateLimit(EntryBoard* board, const RoutedRequest& routed,
-                     const http::Head& response,
-                     const ResponseMetadata& metadata, TimePoint called_at);
+// Records what the upstream of a call that began at `called_at` states about
+// itself in its response: a rate limit, that it leaves, and that it wants no
+// requests for a time.
+void RecordStatements(EntryBoard* board, const RoutedRequest& routed,
+                      const http::Head& response,
+                      const ResponseMetadata& metadata, TimePoint called_at);
 
 // Counts a call to an upstream if that has stated a rate limit.
 void CountLimitedCall(EntryBoard* board, const RoutedRequest& routed,
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -74,6 +74,7 @@
   m_board->upstreams.Expire(now);
   m_board->placement.DropUnregistered(m_board->upstreams);
   m_board->rate_limits.DropUnregistered(m_board->upstreams, now);
+  m_board->pauses.DropEnded(m_board->upstreams, now);
   m_board->poison_detector.Tick(m_board->upstreams, now);
   for (const PromptCrash& crash :
        m_board->poison_detector.DrainPromptCrashes()) {
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -67,6 +67,7 @@
       upstreams.begin(), upstreams.end(),
       [&](const RegisteredUpstream* upstream) {
         return !upstream->leaving && !m_permits->IsNeeded(upstream->name) &&
+               !m_board->pauses.IsPaused(*upstream, now) &&
                !request.tried_upstreams.contains(upstream->name) &&
                !m_board->placement.IsEjected(upstream->name, now);
       });
@@ -74,7 +75,12 @@
 
 void PlainRequests::Place(Request* request) {
   const RegisteredUpstream* upstream = ChooseUpstream(*request);
-  if (upstream == nullptr) return EndUnplaced(request);
+  if (upstream == nullptr) {
+    const Duration pause = UsefulPause(*request);
+    if (pause == Duration(0)) return EndUnplaced(request);
+    request->paused_until = m_board->clock->Now() + pause;
+    return;
+  }
   if (!m_permits->IsNeeded(upstream->name)) {
     return StartPlacedCall(request, upstream);
   }
@@ -84,6 +90,20 @@
   m_exchanges_by_permit.FindOrInsert(request->permit, request->routed.exchange);
 }
 
+Duration PlainRequests::UsefulPause(const Request& request) const {
+  if (request.has_failed_response) return Duration(0);
+  std::vector<const RegisteredUpstream*> untried;
+  for (const RegisteredUpstream* upstream :
+       m_board->upstreams.FindByService(request.routed.service)) {
+    if (!request.tried_upstreams.contains(upstream->name)) {
+      untried.push_back(upstream);
+    }
+  }
+  const Duration pause =
+      m_board->pauses.TimeUntilAvailable(untried, m_board->clock->Now());
+  return pause <= MaxPermitWait(request) ? pause : Duration(0);
+}
+
 void PlainRequests::StartPlacedCall(Request* request,
                                     const RegisteredUpstream* upstream) {
   const RoutedRequest& routed = request->routed;
@@ -130,9 +150,11 @@
   if (IsBarred(m_board, request->routed)) return EndBarred(request);
   const RegisteredUpstream* upstream =
       m_board->upstreams.Find(request->next_upstream);
-  const bool usable = upstream != nullptr && !upstream->leaving &&
-                      upstream->service == request->routed.service &&
-                      !m_board->upstreams.IsSuperseded(*upstream);
+  const bool usable =
+      upstream != nullptr && !upstream->leaving &&
+      upstream->service == request->routed.service &&
+      !m_board->pauses.IsPaused(*upstream, m_board->clock->Now()) &&
+      !m_board->upstreams.IsSuperseded(*upstream);
   if (usable) return StartPlacedCall(request, upstream);
   request->exhausted_upstreams.insert(request->next_upstream);
   Place(request);
@@ -153,14 +175,19 @@
 const RegisteredUpstream* PlainRequests::ChooseUpstream(
     const Request& request) const {
   const ServiceName& service = request.routed.service;
+  const TimePoint now = m_board->clock->Now();
   std::set<UpstreamName> excluded = m_permits->Exhausted(service);
   excluded.insert(request.tried_upstreams.begin(),
                   request.tried_upstreams.end());
   excluded.insert(request.exhausted_upstreams.begin(),
                   request.exhausted_upstreams.end());
-  return m_board->placement.Choose(m_board->upstreams.FindByService(service),
-                                   excluded, m_board->clock->Now(),
-                                   m_board->random);
+  const auto upstreams = m_board->upstreams.FindByService(service);
+  for (const RegisteredUpstream* upstream : upstreams) {
+    if (m_board->pauses.IsPaused(*upstream, now)) {
+      excluded.insert(upstream->name);
+    }
+  }
+  return m_board->placement.Choose(upstreams, excluded, now, m_board->random);
 }
 
 void PlainRequests::StartCall(Request* request,
@@ -170,6 +197,7 @@
   UpstreamCall call;
   call.time_left = routed.TimeLeft(now);
   routed.last_upstream = upstream->name;
+  routed.last_upstream_started_at_ms = upstream->started_at_ms;
   request->tried_upstreams.insert(upstream->name);
   request->call_started_at = now;
   request->call = m_board->connections->Start(
@@ -202,8 +230,8 @@
                          {"upstream", request->routed.last_upstream.Value()}});
     return false;
   }
-  RecordRateLimit(m_board, request->routed, head, metadata,
-                  request->call_started_at);
+  RecordStatements(m_board, request->routed, head, metadata,
+                   request->call_started_at);
   request->response_head = head;
   const bool stream = IsStream(request->routed.route.kind);
   if (stream && head.status == http::kOk && !metadata.not_run) {
@@ -329,13 +357,19 @@
   const ErrorKind kind = request->possible_runs > 0 ? ErrorKind::kUpstreamFailed
                          : registered               ? ErrorKind::kOverloaded
                                                     : ErrorKind::kNoUpstream;
-  const Duration retry_after = kind == ErrorKind::kOverloaded
-                                   ? m_permits->RetryAfter(routed.service)
-                                   : Duration(0);
+  const Duration retry_after =
+      kind == ErrorKind::kOverloaded ? RetryAfter(routed.service) : Duration(0);
   FailRequest(m_board, routed, kind, retry_after, reason);
   FinishRequest(routed.exchange);
 }
 
+Duration PlainRequests::RetryAfter(const ServiceName& service) {
+  return std::max(
+      m_permits->RetryAfter(service),
+      m_board->pauses.TimeUntilAvailable(
+          m_board->upstreams.FindByService(service), m_board->clock->Now()));
+}
+
 void PlainRequests::RecordResponseTime(const RoutedRequest& routed) {
   const Duration latency = m_board->clock->Now() - routed.arrived_at;
   m_board->metrics
@@ -430,6 +464,7 @@
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::ExchangeId> unresponsive;
   std::vector<http::ExchangeId> abandon;
+  std::vector<http::ExchangeId> resumed;
   // The process ends soon, and each caller gets an answer before.
   const bool stopping = m_board->shutdown_deadline != TimePoint() &&
                         now >= m_board->shutdown_deadline;
@@ -437,6 +472,9 @@
     const Route& route = request.routed.route;
     if (stopping || now >= request.routed.deadline) {
       timed_out.push_back(id);
+    } else if (request.paused_until != TimePoint() &&
+               now >= request.paused_until) {
+      resumed.push_back(id);
     } else if (request.disconnected_at.has_value()) {
       const bool over =
           now - *request.disconnected_at >= kHalfClosedGracePeriod;
@@ -450,6 +488,11 @@
     }
   }
   for (const http::ExchangeId id : abandon) Abandon(m_requests.Find(id));
+  for (const http::ExchangeId id : resumed) {
+    Request* request = m_requests.Find(id);
+    request->paused_until = TimePoint();
+    Place(request);
+  }
   for (const http::ExchangeId id : unresponsive) {
     Request* request = m_requests.Find(id);
     const http::CallId call = request->call;
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -49,6 +49,7 @@
     std::string retry_reason;  // Why the last call failed; empty at first.
     int possible_runs = 0;     // Calls that may have run the request.
     int failed_connects = 0;   // Connections that could not be established.
+    TimePoint paused_until{};  // Not placed before; zero if not waiting.
     std::optional<TimePoint> disconnected_at;
     bool is_streaming = false;  // The head was sent to the caller.
     // Of a stream whose body is an event stream.
@@ -80,6 +81,11 @@
   // Calls an upstream, once there is a permit if it needs one; ends the request
   // if none can be called.
   void Place(Request* request);
+  // Time until an upstream may be called that has not been tried, if all of
+  // them want no requests now. Zero if that is not in time for the request.
+  Duration UsefulPause(const Request& request) const;
+  // When a caller should come back that is refused; zero if that is not known.
+  Duration RetryAfter(const ServiceName& service);
   void StartPlacedCall(Request* request, const RegisteredUpstream* upstream);
   // No upstream can be called.
   void EndUnplaced(Request* request);
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -68,6 +68,11 @@
 
 void StreamCalls::ReserveDecodeEngine(Stream* stream) {
   const RoutedRequest& routed = stream->routed;
+  const StageBudget budget =
+      BudgetFor(*stream, StreamStage::kDecodeReservation);
+  const Duration pause =
+      DecodePause(routed.service, stream->excluded_decode_engines);
+  if (pause > Duration(0)) return AwaitPauseEnd(stream, pause, budget.max_wait);
   stream->phase = Phase::kReservingDecode;
   stream->decode_attempt = m_reservations->NewAttempt(routed.request.id);
   m_exchanges_by_attempt.FindOrInsert(stream->decode_attempt, routed.exchange);
@@ -75,8 +80,6 @@
   requirement.service = routed.service;
   requirement.prompt_tokens = routed.request.prompt_tokens;
   requirement.expected_output_tokens = ExpectedOutputTokens(routed.request);
-  const StageBudget budget =
-      BudgetFor(*stream, StreamStage::kDecodeReservation);
   requirement.max_wait = budget.max_wait;
   requirement.target_left = budget.target_left;
   requirement.priority = EnginePriority(routed.route);
@@ -86,6 +89,28 @@
   m_reservations->Reserve(stream->decode_attempt, requirement);
 }
 
+Duration StreamCalls::DecodePause(
+    const ServiceName& service, const std::set<UpstreamName>& excluded) const {
+  std::vector<const RegisteredUpstream*> engines;
+  for (const RegisteredUpstream* engine :
+       m_board->upstreams.FindByService(service)) {
+    if (engine->role == EngineRole::kDecode &&
+        !excluded.contains(engine->name)) {
+      engines.push_back(engine);
+    }
+  }
+  return m_board->pauses.TimeUntilAvailable(engines, m_board->clock->Now());
+}
+
+void StreamCalls::AwaitPauseEnd(Stream* stream, Duration pause,
+                                Duration max_wait) {
+  if (pause > max_wait) {
+    return FailOverloaded(stream, pause, "all engines pause");
+  }
+  stream->phase = Phase::kAwaitingPauseEnd;
+  stream->paused_until = m_board->clock->Now() + pause;
+}
+
 void StreamCalls::OnReserved(const AttemptId& attempt,
                              const UpstreamName& engine) {
   const http::ExchangeId* exchange = m_exchanges_by_attempt.Find(attempt);
@@ -132,12 +157,13 @@
   const RegisteredUpstream* wanted = m_board->upstreams.Find(engine);
   if (wanted == nullptr) return false;
   const auto engines = m_board->upstreams.FindByService(wanted->service);
-  return std::any_of(engines.begin(), engines.end(),
-                     [&](const RegisteredUpstream* other) {
-                       return other->role == wanted->role && !other->leaving &&
-                              !m_permits->IsNeeded(other->name) &&
-                              !excluded.contains(other->name);
-                     });
+  return std::any_of(
+      engines.begin(), engines.end(), [&](const RegisteredUpstream* other) {
+        return other->role == wanted->role && !other->leaving &&
+               !m_board->pauses.IsPaused(*other, m_board->clock->Now()) &&
+               !m_permits->IsNeeded(other->name) &&
+               !excluded.contains(other->name);
+      });
 }
 
 bool StreamCalls::AwaitPermit(Stream* stream, const UpstreamName& engine,
@@ -211,6 +237,7 @@
   stream->response_body.clear();
   stream->is_forwarding = false;
   stream->routed.last_upstream = upstream.name;
+  stream->routed.last_upstream_started_at_ms = upstream.started_at_ms;
   http::CallPolicy policy;
   policy.response_id = stream->routed.request.id;
   stream->call = m_board->connections->Start(
@@ -298,8 +325,9 @@
   stream->calls.BeginPrefill();
   const RegisteredUpstream* upstream =
       m_board->upstreams.Find(stream->prefill_engine);
-  if (upstream == nullptr || upstream->leaving) {
-    return OnPrefillFailed(stream, /*was_sent=*/false, "engine is leaving");
+  if (!IsUsable(upstream)) {
+    return OnPrefillFailed(stream, /*was_sent=*/false,
+                           "engine is leaving or pauses");
   }
   stream->phase = Phase::kPrefilling;
   UpstreamCall call;
@@ -311,6 +339,11 @@
   }
 }
 
+bool StreamCalls::IsUsable(const RegisteredUpstream* engine) const {
+  return engine != nullptr && !engine->leaving &&
+         !m_board->pauses.IsPaused(*engine, m_board->clock->Now());
+}
+
 void StreamCalls::ReleasePrefill(Stream* stream) {
   m_reservations->Release(stream->prefill_attempt);
   m_exchanges_by_attempt.Erase(stream->prefill_attempt);
@@ -323,8 +356,8 @@
   const TimePoint now = m_board->clock->Now();
   const RegisteredUpstream* upstream =
       m_board->upstreams.Find(stream->decode_engine);
-  if (upstream == nullptr || upstream->leaving) {
-    return OnDecodeRejected(stream, "engine is leaving");
+  if (!IsUsable(upstream)) {
+    return OnDecodeRejected(stream, "engine is leaving or pauses");
   }
   if (!PayForRetries(stream, stream->calls.DueBeforeDecode())) {
     return FailUnpaid(stream);
@@ -371,8 +404,8 @@
                          {"upstream", stream->routed.last_upstream.Value()}});
     return false;
   }
-  RecordRateLimit(m_board, stream->routed, head, metadata,
-                  stream->call_started_at);
+  RecordStatements(m_board, stream->routed, head, metadata,
+                   stream->call_started_at);
   stream->response_head = head;
   if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
   stream->may_have_run = true;
@@ -565,6 +598,9 @@
       !PayForRetries(stream, stream->calls.DueBeforeDecode())) {
     return OnDecodeRejected(stream, "KV cache is gone");
   }
+  if (!IsUsable(m_board->upstreams.Find(stream->decode_engine))) {
+    return OnDecodeRejected(stream, "engine is leaving or pauses");
+  }
   // A short prompt is computed by the decode engine, which takes one call
   // instead of two. A long one would stall the other streams on that engine.
   if (DecideLocalPrefill(*stream).allowed) return StartDecode(stream);
@@ -653,6 +689,7 @@
   if (retry_after == Duration(0)) {
     retry_after = m_permits->RetryAfter(stream->routed.service);
   }
+  retry_after = std::max(retry_after, DecodePause(stream->routed.service, {}));
   // Jitter, so that callers that were refused together do not retry together.
   if (retry_after > Duration(0)) {
     retry_after = std::max(retry_after, m_board->random->Jitter(retry_after));
@@ -742,12 +779,16 @@
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::CallId> slow_prefills;
   std::vector<http::CallId> silent_decodes;
+  std::vector<http::ExchangeId> resumed;
   // The process ends soon, and each caller gets an answer before.
   const bool stopping = m_board->shutdown_deadline != TimePoint() &&
                         now >= m_board->shutdown_deadline;
   for (const auto& [id, stream] : m_streams) {
     if (stopping || now >= stream.routed.deadline) {
       timed_out.push_back(id);
+    } else if (stream.phase == Phase::kAwaitingPauseEnd &&
+               now >= stream.paused_until) {
+      resumed.push_back(id);
     } else if (stream.phase == Phase::kPrefilling &&
                now - stream.call_started_at >
                    PrefillTimeout(stream.routed.route)) {
@@ -758,6 +799,9 @@
       silent_decodes.push_back(stream.call);
     }
   }
+  for (const http::ExchangeId id : resumed) {
+    ReserveDecodeEngine(m_streams.Find(id));
+  }
   for (const http::CallId call : slow_prefills) {
     m_board->connections->Cancel(call);
     OnCallFailed(call, http::CallFailure::kBroken);
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -46,6 +46,7 @@
 
  private:
   enum class Phase {
+    kAwaitingPauseEnd,  // All decode engines want no requests now.
     kReservingDecode,
     kAwaitingDecodePermit,  // For the engine that was just reserved.
     kReservingPrefill,
@@ -64,7 +65,8 @@
     UpstreamName prefill_engine;
     // Computed, and not yet passed to a decode engine.
     std::optional<KvLocation> kv;
-    PermitId permit;  // Valid while a permit is awaited.
+    TimePoint paused_until{};  // In kAwaitingPauseEnd.
+    PermitId permit;           // Valid while a permit is awaited.
     // The permit for the next decode call, if the engine needs one, is there.
     bool has_decode_permit = false;
     http::CallId call;
@@ -117,6 +119,15 @@
   void FailUnpaid(Stream* stream);
   StageBudget BudgetFor(const Stream& stream, StreamStage stage) const;
   void ReserveDecodeEngine(Stream* stream);
+  // Time until a decode engine that is not excluded may be called; zero if one
+  // may be called now.
+  Duration DecodePause(const ServiceName& service,
+                       const std::set<UpstreamName>& excluded) const;
+  // Waits until the engines may be called, or refuses the stream if that is not
+  // in time for it.
+  void AwaitPauseEnd(Stream* stream, Duration pause, Duration max_wait);
+  // Whether the engine, which may be nullptr, may be called.
+  bool IsUsable(const RegisteredUpstream* engine) const;
   // Reserves capacity on a prefill engine, or on the decode engine for
   // computing the prompt there.
   void ReservePrefillEngine(Stream* stream);
--- a/burdockhill/src/routing/upstream_directory.cc
+++ b/burdockhill/src/routing/upstream_directory.cc
@@ -82,6 +82,14 @@
   m_drop_at.erase(upstream.name);
   ++m_version;
   const UpstreamName name = upstream.name;
+  if (const auto stated = m_stated_leaving.find(name);
+      stated != m_stated_leaving.end()) {
+    if (stated->second == upstream.started_at_ms) {
+      upstream.leaving = true;
+    } else {
+      m_stated_leaving.erase(stated);  // A new process under that name.
+    }
+  }
   const bool has_moved = found != m_upstreams.end() &&
                          (found->second.address != upstream.address ||
                           found->second.service != upstream.service);
@@ -91,6 +99,19 @@
   UpdateLatest(stored->second);
 }
 
+bool UpstreamDirectory::RecordLeaving(const UpstreamName& name,
+                                      int64_t started_at_ms) {
+  const auto found = m_upstreams.find(name);
+  const bool is_registered = found != m_upstreams.end() &&
+                             found->second.started_at_ms == started_at_ms;
+  if (!is_registered || m_stated_leaving.contains(name)) return false;
+  m_stated_leaving[name] = started_at_ms;
+  if (found->second.leaving) return false;
+  found->second.leaving = true;
+  ++m_version;
+  return true;
+}
+
 bool UpstreamDirectory::MayHaveEnded(const RegisteredUpstream& upstream) const {
   const auto ended = m_ended.find(upstream.name);
   return ended != m_ended.end() && !m_upstreams.contains(upstream.name) &&
@@ -120,6 +141,8 @@
   const auto found = m_upstreams.find(name);
   if (found == m_upstreams.end()) return;
   m_ended[name] = {found->second.started_at_ms, m_list_era, now};
+  // Without a start time, one that comes back is taken for a new process.
+  if (found->second.started_at_ms == 0) m_stated_leaving.erase(name);
   m_upstreams.erase(found);
   ++m_version;
   RebuildLatest();
@@ -162,6 +185,10 @@
   std::erase_if(m_ended, [&](const auto& item) {
     return now - item.second.at > kEndedTime;
   });
+  // A registration that comes back may be of the same process.
+  std::erase_if(m_stated_leaving, [&](const auto& item) {
+    return !m_upstreams.contains(item.first) && !m_ended.contains(item.first);
+  });
 }
 
 const RegisteredUpstream* UpstreamDirectory::Find(
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -44,6 +44,10 @@
 // known before: a registration that its process has written again since is
 // ignored, and one that had ended is used only if it is still listed after a
 // time in which the registry would have dropped it.
+//
+// A process that has stated in a response that it leaves is leaving, whatever
+// its registration says: the registry may be behind, or the process may not
+// report it there.
 class UpstreamDirectory {
  public:
   // Applies a complete list as of `revision`. Older registrations that are not
@@ -56,6 +60,10 @@
   void ApplyRemoval(const UpstreamName& name, StoreRevision revision,
                     TimePoint now);
 
+  // Records that the process of the upstream that started at `started_at_ms`
+  // has stated that it leaves. Returns whether this was not known.
+  bool RecordLeaving(const UpstreamName& name, int64_t started_at_ms);
+
   // Records that the registry did not answer at `now`.
   void RecordOutage(TimePoint now) { m_last_outage = now; }
 
@@ -96,6 +104,8 @@
   // The latest registration of each service at each address.
   std::map<std::pair<ServiceName, std::string>, UpstreamName> m_latest;
   std::map<UpstreamName, TimePoint> m_drop_at;  // When each is dropped.
+  // Start times of the processes that have stated that they leave.
+  std::map<UpstreamName, int64_t> m_stated_leaving;
   struct Ended {
     int64_t started_at_ms = 0;
     uint64_t era = 0;
--- a/tests/gateway_test_kept_connections.cc
+++ b/tests/gateway_test_kept_connections.cc
@@ -5,15 +5,15 @@
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 
-TEST_GROUP_BASE(KeptConnections, EntryFixture){std::string Rejection() const {
-    return HttpResponse(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
-}
-// The upstream that a decode call went to.
-std::string AddressOf(SocketId id) const {
-  return m_sockets.GetConnection(id).address;
-}
+TEST_GROUP_BASE(KeptConnections, EntryFixture){};
+
+namespace {
+
+std::string Rejection() {
+  return HttpResponse(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
 }
-;
+
+}  // namespace
 
 // Guards against a late second copy of a rejection that is taken for the answer
 // to the next decode call of the same stream, which then runs a third time.
@@ -34,7 +34,7 @@
   }
   LONGS_EQUAL(1, m_log.Count("kv_lost"));
   LONGS_EQUAL(0, m_log.Count("decode_rejected"));
-  const SocketId second = EstablishTo(AddressOf(first));
+  const SocketId second = EstablishTo(m_sockets.GetConnection(first).address);
   CHECK(second.IsValid());
   STRCMP_CONTAINS("POST /stream/x", m_sockets.DrainOutput(second).c_str());
   m_sockets.Inject(second,
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -169,6 +169,35 @@
   CHECK(!m_codec.DecodeResponseMetadata(http::Head()).rate_limit.has_value());
 }
 
+TEST(RequestCodec, DecodesWhatUpstreamsStateOfThemselves) {
+  const auto decode = [this](int status, const char* name, const char* value) {
+    http::Head head;
+    head.status = status;
+    head.headers.Add(name, value);
+    return m_codec.DecodeResponseMetadata(head);
+  };
+  CHECK(decode(200, "Server-Leaving", "1").leaving);
+  CHECK(decode(503, "server-leaving", "1").leaving);
+  for (const char* value : {"0", "", "yes", "11"}) {
+    CHECK(!decode(200, "Server-Leaving", value).leaving);
+  }
+  CHECK(decode(503, "Retry-After", "2").pause == std::chrono::seconds(2));
+  CHECK(decode(503, "Retry-After", "0.25").pause ==
+        std::chrono::milliseconds(250));
+  for (const char* value : {"0", "-1", "", "soon", "1e3", "nan", "inf", "1 s",
+                            "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    CHECK_TEXT(decode(503, "Retry-After", value).pause == Duration(0), value);
+  }
+  // Longer than any process lives, but no overflow.
+  const std::string long_number(300, '9');
+  CHECK(decode(503, "Retry-After", long_number.c_str()).pause >=
+        std::chrono::hours(1));
+  CHECK(decode(503, "Retry-After", "99999999999999").pause >=
+        std::chrono::hours(1));
+  CHECK(decode(429, "Retry-After", "2").pause == Duration(0));
+  CHECK(decode(200, "Retry-After", "2").pause == Duration(0));
+}
+
 TEST(RequestCodec, DecodesPrefillAnswers) {
   const auto kv = m_codec.DecodePrefill(
       Engine(), R"({"kvHandle":"3f","tokens":1460,"version":1})");
