Answers that two sends do not take are finished

What callers saw: the first part of an answer, 200 to 300 KB over ordinary windows, and then nothing until the idle timeout; the request had run (LOST, CONFIG).

Cause: TcpSockets asked for the next writable event from inside the callback of libwebsockets for this one, and the request was forgotten. Requests are made in the next iteration now.

--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -13,6 +13,7 @@
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/src/base/table.h"
@@ -81,7 +82,7 @@
 
 class TcpSockets::Impl : public internal::VhostOwner<TcpSockets::Impl> {
  public:
-  explicit Impl(EventLoop* loop) : m_context(loop->Context()) {
+  explicit Impl(EventLoop* loop) : m_loop(loop), m_context(loop->Context()) {
     m_protocols[0] = {kProtocolName, &Impl::Callback, 0, 0, 0, nullptr, 0};
     m_protocols[1] = {};
     lws_context_creation_info info = {};
@@ -96,6 +97,7 @@
   }
 
   ~Impl() {
+    m_loop->CancelTimer(m_request_timer);
     // libwebsockets closes the descriptors only later.
     for (const auto& [id, socket] : m_sockets) shutdown(socket.fd, SHUT_RDWR);
     lws_vhost_destroy(m_vhost);
@@ -150,7 +152,7 @@
       if (bytes.empty()) return;
     }
     socket->output.append(bytes);
-    lws_callback_on_writable(socket->wsi);
+    RequestWritable(id);
   }
 
   size_t PendingBytes(SocketId id) const {
@@ -311,7 +313,7 @@
     if (sent < 0 && !WouldBlock(errno)) return kClose;
     if (sent > 0) socket->output_start += static_cast<size_t>(sent);
     if (socket->PendingBytes() > 0) {
-      lws_callback_on_writable(socket->wsi);
+      RequestWritable(id);
       return kKeepOpen;
     }
     socket->output.clear();
@@ -324,6 +326,21 @@
     return m_sockets.Find(id) == nullptr ? kClose : kKeepOpen;
   }
 
+  // Has OnWritable called once the socket is writable. libwebsockets forgets a
+  // request that is made inside of the callback for the same descriptor, so
+  // requests are made in the next iteration.
+  void RequestWritable(SocketId id) {
+    m_writable_requests.push_back(id);
+    if (m_request_timer.IsValid()) return;
+    m_request_timer = m_loop->CallAfter(Duration(0), [this] {
+      m_request_timer = TimerId();
+      for (const SocketId requested : std::exchange(m_writable_requests, {})) {
+        const Socket* socket = m_sockets.Find(requested);
+        if (socket != nullptr) lws_callback_on_writable(socket->wsi);
+      }
+    });
+  }
+
   void ShutDownOutput(SocketId id, Socket* socket) {
     shutdown(socket->fd, SHUT_WR);
     if (socket->input_ended) Close(id, false);
@@ -338,6 +355,7 @@
     if (events != nullptr) events->OnFailed(id);
   }
 
+  EventLoop* m_loop;
   lws_context* m_context;
   lws_vhost* m_vhost = nullptr;
   std::array<lws_protocols, 2> m_protocols{};
@@ -347,6 +365,8 @@
   Table<SocketId, Socket> m_sockets;
   std::unordered_map<SocketId, SocketAcceptor*> m_acceptors;
   std::vector<SocketId> m_lingering;
+  TimerId m_request_timer;
+  std::vector<SocketId> m_writable_requests;
 };
 
 TcpSockets::TcpSockets(EventLoop* loop)
--- /dev/null
+++ b/tests/transport_test_tcp_sockets.cc
@@ -0,0 +1,97 @@
+// Module transport: TCP connections over loopback whose other end reads slowly.
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "burdockhill/transport.h"
+#include "tests/raw_server.h"
+
+using namespace burdockhill;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr uint16_t kPort = 19487;
+constexpr int kSmallReceiveBuffer = 8192;
+
+// Accepts one connection.
+class Acceptor : public SocketAcceptor, public SocketEvents {
+ public:
+  SocketEvents* OnAccepted(SocketId id) override {
+    accepted = id;
+    return this;
+  }
+  void OnBytes(SocketId, std::string_view) override {}
+  void OnEndOfInput(SocketId) override {}
+  void OnFailed(SocketId) override { failed = true; }
+
+  SocketId accepted;
+  bool failed = false;
+};
+
+}  // namespace
+
+TEST_GROUP(TcpSockets) {
+  void setup() override {
+    m_sockets.Listen({"127.0.0.1", kPort}, &m_acceptor);
+    m_client = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(m_client, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
+               sizeof kSmallReceiveBuffer);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(kPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    LONGS_EQUAL(0, connect(m_client, reinterpret_cast<sockaddr*>(&address),
+                           sizeof address));
+    RunUntil(&m_loop, [&] { return m_acceptor.accepted.IsValid(); });
+  }
+  void teardown() override { close(m_client); }
+
+  // Lets the time pass without reading.
+  void Pause(Duration time) {
+    const TimePoint end = m_clock.Now() + time;
+    while (m_clock.Now() < end) {
+      m_loop.WakeAfter(std::chrono::milliseconds(10));
+      m_loop.RunOnce();
+      m_sockets.CloseLingering(m_clock.Now());
+    }
+  }
+  // Reads until there are this many bytes, the end, or nothing for some time.
+  // Returns the number of bytes.
+  size_t Read(size_t limit) {
+    constexpr Duration kSilence = std::chrono::seconds(2);
+    size_t received = 0;
+    TimePoint last = m_clock.Now();
+    char buffer[16384];
+    while (received < limit && m_clock.Now() - last < kSilence) {
+      const ssize_t size = recv(m_client, buffer, sizeof buffer, MSG_DONTWAIT);
+      if (size == 0 || (size < 0 && errno != EAGAIN)) break;
+      if (size > 0) {
+        received += static_cast<size_t>(size);
+        last = m_clock.Now();
+        continue;
+      }
+      m_loop.WakeAfter(std::chrono::milliseconds(1));
+      m_loop.RunOnce();
+      m_sockets.CloseLingering(m_clock.Now());
+    }
+    return received;
+  }
+
+  SystemClock m_clock;
+  EventLoop m_loop;
+  TcpSockets m_sockets{&m_loop};
+  Acceptor m_acceptor;
+  int m_client = -1;
+};
+
+// Guards against an answer that is never finished because two sends do not take
+// all of it.
+TEST(TcpSockets, AnAnswerLargerThanASocketTakesIsSentWhole) {
+  const std::string answer(size_t{8} << 20, 'x');
+  m_sockets.Write(m_acceptor.accepted, answer);
+  LONGS_EQUAL(answer.size(), Read(answer.size()));
+}
