Callers that pause reading are not taken for lost

What callers saw: a reset after 3 s in the middle of an answer, when they read nothing for that long (LOST); the request had run.

Cause: TCP_USER_TIMEOUT on the connections of callers, which Linux applies to a closed window too. Evidence: ACallerThatPausesIsNotReset failed before and passes without the option.

Change: accepted connections have no such option.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -99,7 +99,7 @@
   void CheckTimeouts(TimePoint now) {
     if (now < next_timeout_check) return;
     next_timeout_check = now + kTimeoutCheckInterval;
-    sockets.CloseLingering(now);
+    sockets.CheckTimeouts(now);
     pool.CheckTimeouts(now);
   }
 
--- a/burdockhill/src/http/http_server.cc
+++ b/burdockhill/src/http/http_server.cc
@@ -116,7 +116,7 @@
     m_check_timer = m_loop->CallAfter(kTimeoutCheckInterval, [this] {
       const TimePoint now = m_clock.Now();
       m_server.CheckTimeouts(now);
-      m_sockets.CloseLingering(now);
+      m_sockets.CheckTimeouts(now);
       ScheduleTimeoutCheck();
     });
   }
--- a/burdockhill/src/transport/sockets.h
+++ b/burdockhill/src/transport/sockets.h
@@ -58,7 +58,8 @@
   virtual void SetReading(SocketId id, bool reading) = 0;
 
   // Sends the queued bytes and the end of the stream, then discards input until
-  // the remote side closes or a time limit expires. No callback follows.
+  // the remote side closes. Ends early if the remote side takes nothing for a
+  // time. No callback follows.
   virtual void CloseGracefully(SocketId id) = 0;
   // Closes at once, discarding queued bytes; with `reset` by a TCP reset, which
   // the remote side sees as an error. No callback follows.
--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -18,6 +18,7 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/event_loop.h"
+#include "burdockhill/src/transport/path_state.h"
 #include "burdockhill/src/transport/vhost_owner.h"
 #include "burdockhill/src/transport/wsi_support.h"
 
@@ -28,9 +29,11 @@
 constexpr char kProtocolName[] = "tcp";
 constexpr int kListenBacklog = 512;
 constexpr size_t kReadBufferBytes = size_t{32} << 10;
-// A connection fails when sent data is not acknowledged within this time, since
-// the path is then taken to be lost.
+// An outgoing connection fails when sent data is not acknowledged within this
+// time, since the path is then taken to be lost. It would also fail if the
+// remote process does not read for so long, as callers may: see PathState.
 constexpr int kUserTimeoutMs = 3000;
+constexpr Duration kPathCheckInterval = std::chrono::milliseconds(500);
 // Keep-alive probes detect a failed path or remote host on an idle connection.
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -51,6 +54,10 @@
   bool reading = true;
   bool input_ended = false;
   bool closing = false;
+  // Bytes were written that the remote host may not have acknowledged yet, and
+  // the path is checked. Accepted connections only.
+  bool checks_path = false;
+  bool accepted = false;
   TimePoint close_deadline{};
   size_t PendingBytes() const { return output.size() - output_start; }
 };
@@ -73,7 +80,6 @@
   SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
@@ -125,6 +131,7 @@
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) return SocketId();
     SetTcpOptions(fd);
+    SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
     const sockaddr_in remote = SocketAddress(address);
     const int result =
         connect(fd, reinterpret_cast<const sockaddr*>(&remote), sizeof remote);
@@ -143,6 +150,9 @@
   void Write(SocketId id, std::string_view bytes) {
     Socket* socket = m_sockets.Find(id);
     if (socket == nullptr || socket->closing || bytes.empty()) return;
+    if (socket->accepted && !std::exchange(socket->checks_path, true)) {
+      m_paths_to_check.push_back(id);
+    }
     if (socket->PendingBytes() == 0 && !socket->connecting) {
       const ssize_t sent =
           send(socket->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -197,7 +207,8 @@
     lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
   }
 
-  void CloseLingering(TimePoint now) {
+  void CheckTimeouts(TimePoint now) {
+    CheckPaths(now);
     std::erase_if(m_lingering, [&](SocketId id) {
       const Socket* socket = m_sockets.Find(id);
       if (socket == nullptr) return true;
@@ -284,6 +295,7 @@
       SetTcpOptions(fd);
       const SocketId id = Adopt(fd, nullptr);
       if (!id.IsValid()) continue;
+      m_sockets.Find(id)->accepted = true;
       SocketEvents* events = acceptor->OnAccepted(id);
       if (events == nullptr) {
         Close(id, true);
@@ -341,6 +353,29 @@
     });
   }
 
+  // Fails the accepted connections whose path is lost.
+  void CheckPaths(TimePoint now) {
+    if (now < m_next_path_check) return;
+    m_next_path_check = now + kPathCheckInterval;
+    std::vector<SocketId> lost;
+    std::erase_if(m_paths_to_check, [&](SocketId id) {
+      Socket* socket = m_sockets.Find(id);
+      if (socket == nullptr) return true;
+      const std::optional<PathState> state = ReadPathState(socket->fd);
+      if (state.has_value() && state->IsLost()) lost.push_back(id);
+      const bool is_done = !state.has_value() && socket->PendingBytes() == 0;
+      if (is_done) socket->checks_path = false;
+      return is_done;
+    });
+    for (const SocketId id : lost) {
+      const Socket* socket = m_sockets.Find(id);
+      if (socket == nullptr) continue;
+      SocketEvents* events = socket->events;
+      Close(id, /*reset=*/true);
+      if (events != nullptr) events->OnFailed(id);
+    }
+  }
+
   void ShutDownOutput(SocketId id, Socket* socket) {
     shutdown(socket->fd, SHUT_WR);
     if (socket->input_ended) Close(id, false);
@@ -367,6 +402,8 @@
   std::vector<SocketId> m_lingering;
   TimerId m_request_timer;
   std::vector<SocketId> m_writable_requests;
+  TimePoint m_next_path_check{};
+  std::vector<SocketId> m_paths_to_check;
 };
 
 TcpSockets::TcpSockets(EventLoop* loop)
@@ -390,6 +427,6 @@
 }
 void TcpSockets::CloseGracefully(SocketId id) { m_impl->CloseGracefully(id); }
 void TcpSockets::Close(SocketId id, bool reset) { m_impl->Close(id, reset); }
-void TcpSockets::CloseLingering(TimePoint now) { m_impl->CloseLingering(now); }
+void TcpSockets::CheckTimeouts(TimePoint now) { m_impl->CheckTimeouts(now); }
 
 }  // namespace burdockhill
--- a/burdockhill/src/transport/tcp_sockets.h
+++ b/burdockhill/src/transport/tcp_sockets.h
@@ -28,9 +28,9 @@
   void CloseGracefully(SocketId id) override;
   void Close(SocketId id, bool reset) override;
 
-  // Closes the connections whose graceful close exceeds its time limit. Call
-  // once per iteration of the event loop.
-  void CloseLingering(TimePoint now);
+  // Closes the connections whose graceful close exceeds its time limit, and
+  // fails accepted ones whose path is lost. Call about every 50 ms.
+  void CheckTimeouts(TimePoint now);
 
   class Impl;
 
--- a/burdockhill/transport.h
+++ b/burdockhill/transport.h
@@ -6,6 +6,7 @@
 // libwebsockets.
 
 #include "burdockhill/src/transport/event_loop.h"      // IWYU pragma: export
+#include "burdockhill/src/transport/path_state.h"      // IWYU pragma: export
 #include "burdockhill/src/transport/peer_transport.h"  // IWYU pragma: export
 #include "burdockhill/src/transport/sockets.h"         // IWYU pragma: export
 #include "burdockhill/src/transport/tcp_sockets.h"     // IWYU pragma: export
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -314,7 +314,7 @@
         [] {});
     m_store.Tick();
     m_pool.CheckTimeouts(m_system_clock.Now());
-    m_sockets.CloseLingering(m_system_clock.Now());
+    m_sockets.CheckTimeouts(m_system_clock.Now());
   }
 
   void SendDueRequests(Duration elapsed) {
--- a/tests/transport_test_tcp_sockets.cc
+++ b/tests/transport_test_tcp_sockets.cc
@@ -56,7 +56,7 @@
     while (m_clock.Now() < end) {
       m_loop.WakeAfter(std::chrono::milliseconds(10));
       m_loop.RunOnce();
-      m_sockets.CloseLingering(m_clock.Now());
+      m_sockets.CheckTimeouts(m_clock.Now());
     }
   }
   // Reads until there are this many bytes, the end, or nothing for some time.
@@ -76,7 +76,7 @@
       }
       m_loop.WakeAfter(std::chrono::milliseconds(1));
       m_loop.RunOnce();
-      m_sockets.CloseLingering(m_clock.Now());
+      m_sockets.CheckTimeouts(m_clock.Now());
     }
     return received;
   }
@@ -95,3 +95,35 @@
   m_sockets.Write(m_acceptor.accepted, answer);
   LONGS_EQUAL(answer.size(), Read(answer.size()));
 }
+
+// Guards against a reset of a caller that reads nothing for longer than the
+// time in which sent data have to be acknowledged.
+TEST(TcpSockets, ACallerThatPausesIsNotReset) {
+  const std::string answer(60000, 'x');
+  m_sockets.Write(m_acceptor.accepted, answer);
+  Pause(std::chrono::milliseconds(4500));
+  CHECK(!m_acceptor.failed);
+  LONGS_EQUAL(answer.size(), Read(answer.size()));
+}
+
+TEST_GROUP(PathState){};
+
+TEST(PathState, APathIsLostIfNothingIsAcknowledged) {
+  PathState path;
+  path.since_last_acknowledgement = std::chrono::seconds(10);
+  CHECK(!path.IsLost());  // Nothing was sent again.
+  path.retransmissions = 4;
+  CHECK(path.IsLost());
+  path.since_last_acknowledgement = std::chrono::milliseconds(2000);
+  CHECK(!path.IsLost());
+}
+
+// The other end answers each probe, though with longer and longer pauses.
+TEST(PathState, AClosedWindowIsNoLostPath) {
+  PathState path;
+  path.since_last_acknowledgement = std::chrono::seconds(60);
+  path.window_probes = 1;  // The one on its way.
+  CHECK(!path.IsLost());
+  path.window_probes = 3;
+  CHECK(path.IsLost());
+}
