A planned stop, a close and an idle timeout wait for unsent answers

Cause: the end of a process looked at requests in progress, not at bytes that the operating system had not taken. A graceful close gave them one second, and an idle timeout counted from the end of the request although its answer was still being read. Evidence: AGracefulCloseSendsAllBytesFirst (3.3 of 8 MB) and ACallerThatIsStillReadingIsNotIdle failed before.

Change: a process ends once no connection has unsent bytes, or at its stop time, and logs what was left; a graceful close goes on as long as the caller takes something within 15 s; a caller is idle once it has its whole answer, at the latest after 60 s. The same in the product's own deployment.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -227,12 +227,14 @@
           leaving_since + settings.stop_time - kStopMargin;
       server.CloseIdleConnections();
     }
-    const bool idle =
-        gateway.IsIdle() && leaving_for > kBalancerDrainTime + kTickInterval;
+    const size_t unsent_bytes = context.sockets.TotalPendingBytes();
+    const bool idle = gateway.IsIdle() && unsent_bytes == 0 &&
+                      leaving_for > kBalancerDrainTime + kTickInterval;
     if (!idle && leaving_for < settings.stop_time - kStopMargin) continue;
     context.log.Write(
         "stopped",
-        {{"cut_off", static_cast<int64_t>(server.OpenExchangeCount())}});
+        {{"cut_off", static_cast<int64_t>(server.OpenExchangeCount())},
+         {"unsent_bytes", static_cast<int64_t>(unsent_bytes)}});
     return 0;
   }
 }
--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -72,9 +72,10 @@
       core->Leave();
       LogInfo(component, "Shutting down; new requests are refused.");
     }
-    if (!core->IsIdle()) idle_since = TimePoint();
-    if (core->IsIdle() && idle_since == TimePoint()) idle_since = now;
-    if (core->IsIdle() && now - idle_since > kShutdownLinger) {
+    const bool idle = core->IsIdle() && !stream_server->HasUnsentBytes();
+    if (!idle) idle_since = TimePoint();
+    if (idle && idle_since == TimePoint()) idle_since = now;
+    if (idle && now - idle_since > kShutdownLinger) {
       LogInfo(component, "Stopped; no request was aborted.");
       return 0;
     }
--- a/burdockhill/src/http/http_server.cc
+++ b/burdockhill/src/http/http_server.cc
@@ -111,6 +111,10 @@
 
   size_t OpenExchangeCount() const { return m_server.OpenExchangeCount(); }
 
+  bool HasUnsentBytes() const {
+    return m_queued.Size() > 0 || m_sockets.TotalPendingBytes() > 0;
+  }
+
  private:
   void ScheduleTimeoutCheck() {
     m_check_timer = m_loop->CallAfter(kTimeoutCheckInterval, [this] {
@@ -186,4 +190,6 @@
   return m_impl->OpenExchangeCount();
 }
 
+bool HttpServer::HasUnsentBytes() const { return m_impl->HasUnsentBytes(); }
+
 }  // namespace burdockhill
--- a/burdockhill/src/http/http_server.h
+++ b/burdockhill/src/http/http_server.h
@@ -83,6 +83,10 @@
   // Number of exchanges whose response has not ended.
   size_t OpenExchangeCount() const;
 
+  // Whether parts of responses, those that have ended included, are not yet
+  // written to their sockets.
+  bool HasUnsentBytes() const;
+
   class Impl;
 
  private:
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -8,6 +8,8 @@
 
 // Reading from a connection stops when more pipelined bytes are buffered.
 constexpr size_t kMaxPipelinedBytes = size_t{64} << 10;
+// A connection is closed if its caller does not read a response for this time.
+constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -92,8 +94,13 @@
 }
 
 void Server::OnOutputDrained(SocketId id) {
-  const Connection* connection = m_connections.Find(id);
-  if (connection == nullptr || !connection->exchange.IsValid()) return;
+  Connection* connection = m_connections.Find(id);
+  if (connection == nullptr) return;
+  // The caller is idle only once it has the whole response.
+  if (!connection->exchange.IsValid()) {
+    connection->wait_start = m_clock->Now();
+    return;
+  }
   m_events->OnOutputDrained(connection->exchange);
 }
 
@@ -221,8 +228,9 @@
     if (connection.exchange.IsValid()) continue;
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
-    const Duration limit =
+    Duration limit =
         reading_head ? m_limits.header_timeout : m_limits.idle_timeout;
+    if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
   }
--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -38,8 +38,10 @@
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
-// Time limit of a graceful close, from the call of CloseGracefully.
+// Time limits of a graceful close: for the remote side to close after the end
+// of the stream, and between two sends before that.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+constexpr Duration kSendTimeout = std::chrono::seconds(15);
 // Limit per iteration of the event loop and listening address, so that a burst
 // of new connections does not block the loop.
 constexpr int kMaxAcceptsPerIteration = 64;
@@ -170,6 +172,12 @@
     return socket == nullptr ? 0 : socket->PendingBytes();
   }
 
+  size_t TotalPendingBytes() const {
+    size_t total = 0;
+    for (const auto& [id, socket] : m_sockets) total += socket.PendingBytes();
+    return total;
+  }
+
   void SetReading(SocketId id, bool reading) {
     Socket* socket = m_sockets.Find(id);
     if (socket == nullptr || socket->reading == reading) return;
@@ -182,7 +190,7 @@
     if (socket == nullptr || socket->closing) return;
     socket->closing = true;
     socket->events = nullptr;
-    socket->close_deadline = m_clock.Now() + kLingerTimeout;
+    socket->close_deadline = m_clock.Now() + kSendTimeout;
     m_lingering.push_back(id);
     if (!socket->reading && !socket->input_ended) {
       socket->reading = true;
@@ -323,7 +331,10 @@
         send(socket->fd, socket->output.data() + socket->output_start,
              socket->PendingBytes(), MSG_NOSIGNAL);
     if (sent < 0 && !WouldBlock(errno)) return kClose;
-    if (sent > 0) socket->output_start += static_cast<size_t>(sent);
+    if (sent > 0) {
+      socket->output_start += static_cast<size_t>(sent);
+      socket->close_deadline = m_clock.Now() + kSendTimeout;
+    }
     if (socket->PendingBytes() > 0) {
       RequestWritable(id);
       return kKeepOpen;
@@ -377,6 +388,7 @@
   }
 
   void ShutDownOutput(SocketId id, Socket* socket) {
+    socket->close_deadline = m_clock.Now() + kLingerTimeout;
     shutdown(socket->fd, SHUT_WR);
     if (socket->input_ended) Close(id, false);
   }
@@ -427,6 +439,9 @@
 }
 void TcpSockets::CloseGracefully(SocketId id) { m_impl->CloseGracefully(id); }
 void TcpSockets::Close(SocketId id, bool reset) { m_impl->Close(id, reset); }
+size_t TcpSockets::TotalPendingBytes() const {
+  return m_impl->TotalPendingBytes();
+}
 void TcpSockets::CheckTimeouts(TimePoint now) { m_impl->CheckTimeouts(now); }
 
 }  // namespace burdockhill
--- a/burdockhill/src/transport/tcp_sockets.h
+++ b/burdockhill/src/transport/tcp_sockets.h
@@ -28,6 +28,10 @@
   void CloseGracefully(SocketId id) override;
   void Close(SocketId id, bool reset) override;
 
+  // Bytes that the operating system has not accepted yet, of all connections,
+  // those included that are being closed gracefully.
+  size_t TotalPendingBytes() const;
+
   // Closes the connections whose graceful close exceeds its time limit, and
   // fails accepted ones whose path is lost. Call about every 50 ms.
   void CheckTimeouts(TimePoint now);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -254,6 +254,33 @@
   CHECK(m_sockets.GetConnection(id).was_reset);
 }
 
+// Guards against an idle timeout that cuts a response which its caller is still
+// reading.
+TEST(Server, ACallerThatIsStillReadingIsNotIdle) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  m_sockets.SetPendingBytes(id, 1000);
+  m_clock.Advance(std::chrono::seconds(50));
+  m_server.CheckTimeouts(m_clock.Now());
+  CHECK(m_sockets.GetConnection(id).open);
+  m_sockets.NotifyOutputDrained(id);
+  m_clock.Advance(std::chrono::seconds(14));
+  m_server.CheckTimeouts(m_clock.Now());
+  CHECK(m_sockets.GetConnection(id).open);
+  m_clock.Advance(std::chrono::seconds(2));
+  m_server.CheckTimeouts(m_clock.Now());
+  CHECK(!m_sockets.GetConnection(id).open);
+}
+
+TEST(Server, ACallerThatNeverReadsIsClosed) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  m_sockets.SetPendingBytes(id, 1000);
+  m_clock.Advance(std::chrono::seconds(61));
+  m_server.CheckTimeouts(m_clock.Now());
+  CHECK(!m_sockets.GetConnection(id).open);
+}
+
 // Guards against a response whose head comes in the middle of a stream.
 TEST(Server, AResponseInsideAStreamAbortsIt) {
   m_events.responds = false;
--- a/tests/transport_test_tcp_sockets.cc
+++ b/tests/transport_test_tcp_sockets.cc
@@ -93,7 +93,9 @@
 TEST(TcpSockets, AnAnswerLargerThanASocketTakesIsSentWhole) {
   const std::string answer(size_t{8} << 20, 'x');
   m_sockets.Write(m_acceptor.accepted, answer);
+  CHECK(m_sockets.TotalPendingBytes() > 0);
   LONGS_EQUAL(answer.size(), Read(answer.size()));
+  LONGS_EQUAL(0, m_sockets.TotalPendingBytes());
 }
 
 // Guards against a reset of a caller that reads nothing for longer than the
@@ -106,6 +108,17 @@
   LONGS_EQUAL(answer.size(), Read(answer.size()));
 }
 
+// Guards against an answer that is cut since its connection is closed after it,
+// and the caller takes longer than the time for the other end to close.
+TEST(TcpSockets, AGracefulCloseSendsAllBytesFirst) {
+  const std::string answer(size_t{8} << 20, 'x');
+  m_sockets.Write(m_acceptor.accepted, answer);
+  m_sockets.CloseGracefully(m_acceptor.accepted);
+  Pause(std::chrono::milliseconds(1500));
+  CHECK(m_sockets.TotalPendingBytes() > 0);
+  LONGS_EQUAL(answer.size(), Read(answer.size() + 1));
+}
+
 TEST_GROUP(PathState){};
 
 TEST(PathState, APathIsLostIfNothingIsAcknowledged) {
