Soak: large answers with pausing readers, repeated answers, strange entries, statements

Faults now include upstreams that state that they leave or pause, proxies that send each answer once more where the next one is due, and entries of the store that cannot be read, for good. One plain answer in 25 is 7 MB, read with a pause of up to 2 s.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "burdockhill/src/http/message_reader.h"
+
 namespace burdockhill::soak {
 
 FaultProxy::FaultProxy(Sockets* sockets, emulation::EventQueue* queue,
@@ -18,8 +20,8 @@
 SocketEvents* FaultProxy::OnAccepted(SocketId id) {
   const SocketId target = m_sockets->Connect(m_target_address, this);
   if (!target.IsValid()) return nullptr;
-  m_connections.FindOrInsert(id) = {target, false, true, "", false, {}};
-  m_connections.FindOrInsert(target) = {id, true, false, "", false, {}};
+  m_connections.FindOrInsert(id) = {target, false, true, "", false, {}, ""};
+  m_connections.FindOrInsert(target) = {id, true, false, "", false, {}, ""};
   return this;
 }
 
@@ -38,6 +40,7 @@
       (m_fault == Fault::kDropResponses && connection->to_target);
   connection->drops_all = connection->drops_all || dropped;
   if (connection->drops_all) return;
+  if (m_repeats) RepeatAnswer(id, bytes);
   const TimePoint now = m_clock->Now();
   const TimePoint at = std::max(now + m_delay, connection->forward_at);
   if (at <= now) return Forward(id, bytes);
@@ -46,6 +49,19 @@
       at - now, [this, id, text = std::string(bytes)] { Forward(id, text); });
 }
 
+void FaultProxy::RepeatAnswer(SocketId id, std::string_view bytes) {
+  Connection* connection = m_connections.Find(id);
+  if (!connection->to_target) {
+    m_sockets->Write(id, std::exchange(connection->last_answer, {}));
+    return;
+  }
+  http::MessageReader reader(http::MessageKind::kResponse, bytes.size());
+  const bool is_whole =
+      reader.Consume(bytes) == bytes.size() && reader.IsComplete();
+  Connection* other = m_connections.Find(connection->other);
+  if (other != nullptr) other->last_answer = is_whole ? bytes : "";
+}
+
 void FaultProxy::Forward(SocketId id, std::string_view bytes) {
   const Connection* connection = m_connections.Find(id);
   if (connection == nullptr || connection->drops_all) return;
@@ -77,6 +93,7 @@
 }
 
 void FaultProxy::CloseAll(bool reset) {
+  m_had_fault = true;
   std::vector<SocketId> ids;
   for (const auto& [id, connection] : m_connections) ids.push_back(id);
   for (const SocketId id : ids) CloseBoth(id, reset);
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -23,9 +23,20 @@
   FaultProxy(Sockets* sockets, emulation::EventQueue* queue, const Clock* clock,
              const std::string& address, const std::string& target);
 
-  void SetFault(Fault fault) { m_fault = fault; }
+  void SetFault(Fault fault) {
+    m_fault = fault;
+    m_had_fault = m_had_fault || fault != Fault::kNone;
+  }
   // Delays bytes in both directions; their order is kept.
-  void SetDelay(Duration delay) { m_delay = delay; }
+  void SetDelay(Duration delay) {
+    m_delay = delay;
+    m_had_fault = m_had_fault || delay > Duration(0);
+  }
+  // Whether it has ever injected a fault other than to repeat answers.
+  bool HadFault() const { return m_had_fault; }
+  // Sends a copy of each answer once more where the next one is due, if it is
+  // complete in one read.
+  void SetRepeats(bool repeats) { m_repeats = repeats; }
   // Closes or resets all open connections.
   void CloseAll(bool reset);
 
@@ -38,7 +49,8 @@
     // Set for good once bytes were dropped: forwarding later bytes would
     // corrupt the stream.
     bool drops_all = false;
-    TimePoint forward_at{};  // When the last delayed bytes are due.
+    TimePoint forward_at{};     // When the last delayed bytes are due.
+    std::string last_answer{};  // Of the target, for SetRepeats.
   };
 
   SocketEvents* OnAccepted(SocketId id) override;
@@ -46,6 +58,8 @@
   void OnBytes(SocketId id, std::string_view bytes) override;
   void OnEndOfInput(SocketId id) override;
   void OnFailed(SocketId id) override;
+  // Keeps a complete answer, and repeats it before the answer to a request.
+  void RepeatAnswer(SocketId id, std::string_view bytes);
   // Writes bytes received on `id` to the other side.
   void Forward(SocketId id, std::string_view bytes);
   void CloseBoth(SocketId id, bool reset);
@@ -55,6 +69,8 @@
   const Clock* m_clock;
   Address m_target_address;
   Fault m_fault = Fault::kNone;
+  bool m_repeats = false;
+  bool m_had_fault = false;
   Duration m_delay{0};
   Table<SocketId, Connection> m_connections;
 };
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -60,6 +60,18 @@
 constexpr Duration kLimitWindow = std::chrono::seconds(4);
 constexpr double kLimitSlackFactor = 1.5;
 constexpr int64_t kLimitSlackRequests = 5;
+// An upstream that has stated to an entry that it leaves, or wants no requests,
+// gets none from that entry after this. The second is lenient by two requests.
+constexpr Duration kLeavingDelay = std::chrono::milliseconds(2500);
+constexpr Duration kPauseDelay = std::chrono::milliseconds(500);
+constexpr int kPauseSlackRequests = 2;
+constexpr Duration kPause = std::chrono::milliseconds(2000);
+// Some answers of plain services are larger than a socket takes, and are read
+// with a pause in the middle.
+constexpr uint64_t kRequestsPerLargeAnswer = 25;
+constexpr size_t kLargeAnswerBytes = 7'000'000;
+constexpr Duration kReadingPauseStart = std::chrono::milliseconds(45);
+constexpr uint64_t kMaxReadingPauseMs = 2000;
 // A store that was restored has what upstreams and operators write after this.
 constexpr Duration kWriteAgainDelay = std::chrono::milliseconds(1500);
 // One engine in this many computes prompts.
@@ -124,6 +136,7 @@
   bool failed = false;
   bool cancelled = false;
   bool is_on_newest_route = false;  // Sent after all faults have ended.
+  size_t answer_padding = 0;
   std::string body;
 };
 
@@ -205,6 +218,13 @@
     TimePoint until{};
   };
 
+  // A time in which the last plain service states something in its answers.
+  struct Statement {
+    bool leaves = false;  // Otherwise it pauses.
+    TimePoint since{};
+    TimePoint until{};
+  };
+
   void AddEngine(int i) {
     const std::string target_address = Host(2, 1 + i) + ":8080";
     ModelRunnerFake::Options options;
@@ -287,6 +307,61 @@
     }
   }
 
+  PlainRunnerFake& StatingService() { return *m_plain_services.back(); }
+
+  // Has the last plain service leave, or pause, unless it does already.
+  void MakeStatement(bool leaves) {
+    const TimePoint now = m_manual_clock.Now();
+    if (!m_statements.empty() && now < m_statements.back().until) return;
+    const TimePoint until = leaves ? TimePoint::max() : now + kPause;
+    m_statements.push_back({leaves, now, until});
+    if (leaves) {
+      StatingService().SetStatesLeaving(true);
+    } else {
+      StatingService().PauseUntil(until);
+    }
+  }
+
+  // A new process takes the place of one that leaves.
+  void EndLeaving() {
+    if (m_statements.empty() || !m_statements.back().leaves) return;
+    Statement& statement = m_statements.back();
+    statement.until = std::min(statement.until, m_manual_clock.Now());
+    StatingService().SetStatesLeaving(false);
+    const int last = kPlainServices - 1;
+    Register("p" + std::to_string(last), "plain", PlainHost(last), "ready", "");
+  }
+
+  const Caller* CallerOf(const emulation::RequestRate::Arrival& arrival) const {
+    const size_t index = std::stoul(arrival.request.substr(1));
+    return index < m_callers.size() ? m_callers[index].get() : nullptr;
+  }
+
+  // Of entries that ran all the time and always reached the service.
+  void CheckStatement(const Statement& statement) {
+    if (m_proxies.back()->HadFault()) return;
+    std::map<int, TimePoint> told_at;
+    std::map<int, int> late;
+    for (const auto& arrival : StatingService().Rate().Arrivals()) {
+      const Caller* caller = CallerOf(arrival);
+      if (caller == nullptr || m_restarted_entries.contains(caller->entry) ||
+          arrival.at < statement.since || arrival.at >= statement.until) {
+        continue;
+      }
+      const TimePoint told =
+          told_at.try_emplace(caller->entry, arrival.at).first->second;
+      const Duration delay = statement.leaves ? kLeavingDelay : kPauseDelay;
+      if (arrival.at - told > delay) ++late[caller->entry];
+    }
+    for (const auto& [entry, requests] : late) {
+      if (!statement.leaves && requests <= kPauseSlackRequests) continue;
+      ++m_violations;
+      std::cout << "VIOLATION an upstream that had stated that it "
+                << (statement.leaves ? "leaves" : "pauses") << " got "
+                << requests << " requests from entry " << entry + 1 << "\n";
+    }
+  }
+
   // Requests by way of entries that were killed or paused do not count.
   void CheckLimit(const Limited& limited) {
     const auto counts = [&](const emulation::RequestRate::Arrival& arrival) {
@@ -334,16 +409,33 @@
     auto caller = std::make_unique<Caller>(kind, id);
     caller->entry = entry;
     caller->is_on_newest_route = path == NewestPath();
+    const bool plain =
+        kind == CallKind::kNonIdempotent || kind == CallKind::kIdempotent;
+    const bool large = plain && !caller->is_on_newest_route &&
+                       m_random.UniformBelow(kRequestsPerLargeAnswer) == 0;
+    if (large) caller->answer_padding = kLargeAnswerBytes;
     caller->call = m_pool.Start(
         EntryAddress(entry),
         "POST " + path + "x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
             "\r\nX-Token-Counts: 3000,2000\r\nX-Length-Hint: 1200"
             "\r\nX-True-Length: 1220\r\nX-Deadline-Ms: 6000"
+            "\r\nX-Answer-Bytes: " +
+            std::to_string(caller->answer_padding) +
             "\r\nContent-Length: 2\r\n\r\nhi",
         caller.get(), {});
+    if (large) PauseReading(caller->call);
     m_callers.push_back(std::move(caller));
   }
 
+  void PauseReading(http::CallId call) {
+    const Duration pause =
+        std::chrono::milliseconds(m_random.UniformBelow(kMaxReadingPauseMs));
+    m_queue.Schedule(kReadingPauseStart,
+                     [this, call] { m_pool.SetReading(call, false); });
+    m_queue.Schedule(kReadingPauseStart + pause,
+                     [this, call] { m_pool.SetReading(call, true); });
+  }
+
   std::string NewestPath() const {
     return "/version-" + std::to_string(m_version) + "/";
   }
@@ -360,7 +452,7 @@
   void InjectFault() {
     if (m_random.UniformBelow(80) != 0) return;
     FaultProxy& proxy = *m_proxies[m_random.UniformBelow(m_proxies.size())];
-    switch (m_random.UniformBelow(17)) {
+    switch (m_random.UniformBelow(22)) {
       case 0:
         return proxy.CloseAll(/*reset=*/true);
       case 9:
@@ -390,13 +482,28 @@
         return RestoreStore();
       case 12:
         return LimitUpstream();
+      case 13:
+        return MakeStatement(/*leaves=*/m_random.UniformBelow(2) == 0);
+      case 14:
+        return proxy.SetRepeats(true);
+      case 15:
+        return WriteUnreadableEntry();
       default:
         return ClearFaults();
     }
   }
 
+  // Entries that cannot be read stay in the store for good.
+  void WriteUnreadableEntry() {
+    const uint64_t number = m_random.UniformBelow(10);
+    m_store.PutUnreadable("servers", "a" + std::to_string(number), number);
+    m_store.PutUnreadable("config", "odd", number);
+  }
+
   void ClearFaults() {
+    EndLeaving();
     for (const auto& proxy : m_proxies) {
+      proxy->SetRepeats(false);
       proxy->SetFault(FaultProxy::Fault::kNone);
       proxy->SetDelay(Duration(0));
     }
@@ -431,7 +538,9 @@
         Report(caller, "stream events are missing, repeated or out of order");
         std::cout << caller.body.substr(0, 600) << "\n";
       }
-      if (!stream && caller.body != "answer to " + caller.id + " hi") {
+      const std::string body = "answer to " + caller.id + " hi" +
+                               std::string(caller.answer_padding, 'x');
+      if (!stream && caller.body != body) {
         Report(caller, "response body is wrong");
       }
     }
@@ -457,9 +566,10 @@
     std::string name;
     std::string signal;
     while (file >> name >> signal) {
-      const bool planned = signal == "TERM" || signal == "HUP";
-      if (planned || !name.starts_with(kEntry)) continue;
-      m_disturbed_entries.insert(std::stoi(name.substr(kEntry.size())) - 1);
+      if (!name.starts_with(kEntry) || signal == "HUP") continue;
+      const int entry = std::stoi(name.substr(kEntry.size())) - 1;
+      m_restarted_entries.insert(entry);
+      if (signal != "TERM") m_disturbed_entries.insert(entry);
     }
   }
 
@@ -467,6 +577,7 @@
     ReadSignals();
     for (const auto& caller : m_callers) CheckCaller(*caller);
     for (const Limited& limited : m_limited) CheckLimit(limited);
+    for (const Statement& statement : m_statements) CheckStatement(statement);
     int64_t held_tokens = 0;
     for (const auto& engine : m_engines) held_tokens += engine->MemoryUsed();
     if (held_tokens > 0 || !m_handles.empty()) {
@@ -480,7 +591,8 @@
     }
     std::cout << "seed " << absl::GetFlag(FLAGS_seed) << ": "
               << m_callers.size() << " requests, " << m_served_count
-              << " served, " << m_limited.size() << " limits, " << m_restores
+              << " served, " << m_limited.size() << " limits, "
+              << m_statements.size() << " statements, " << m_restores
               << " restores, " << m_violations << " violations\n";
     return m_violations == 0 ? 0 : 1;
   }
@@ -511,6 +623,8 @@
   http::ConnectionPool m_pool{&m_sockets, &m_system_clock};
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::set<int> m_disturbed_entries;  // That were killed or paused.
+  std::set<int> m_restarted_entries;  // Those, and those that were stopped.
+  std::vector<Statement> m_statements;
   int m_served_count = 0;
   int m_restores = 0;
   int m_violations = 0;
--- a/soak/store.cc
+++ b/soak/store.cc
@@ -1,5 +1,7 @@
 #include "soak/store.h"
 
+#include <iterator>
+
 namespace burdockhill::soak {
 
 namespace {
@@ -8,6 +10,19 @@
 
 constexpr int kGone = 410;
 
+// Specs that cannot be read, and the text in an object that stands for each.
+std::string UnreadableSpec(uint64_t number) {
+  const std::string specs[] = {
+      "1e400", R"({"service":"plain\udcff"})",
+      R"({"service":)" + std::string(3000, '[') + std::string(3000, ']') + "}",
+      "{\"service\":\"\xff\xfe\"}",
+      R"({"service":"plain","address":"127.0.0.1:99999","zone":"z","slots":1,
+          "state":"ready","version":"v1","coldRemainingMs":0,"seq":1})"};
+  return specs[number % std::size(specs)];
+}
+constexpr char kUnreadableMark[] = "unreadable-";
+constexpr uint64_t kUnreadableKinds = 5;
+
 // The numeric query parameter `name` of a request target, or 0 if absent.
 uint64_t NumericParameter(const std::string& target, const std::string& name) {
   const size_t at = target.find(name + "=");
@@ -34,6 +49,11 @@
       {kind, m_revision, {{"deleted", false}, {"object", object}}});
 }
 
+void Store::PutUnreadable(const std::string& kind, const std::string& name,
+                          uint64_t number) {
+  Put(kind, name, kUnreadableMark + std::to_string(number % kUnreadableKinds));
+}
+
 void Store::Delete(const std::string& kind, const std::string& name) {
   if (m_objects[kind].erase(name) == 0) return;
   ++m_revision;
@@ -109,7 +129,16 @@
   head.status = status;
   head.headers.Add("Content-Type", "application/json");
   head.headers.Add("Store-Era", std::to_string(m_era));
-  m_server.Respond(id, head, body.dump());
+  std::string text = body.dump();
+  for (uint64_t number = 0; number < kUnreadableKinds; ++number) {
+    const std::string mark =
+        "\"" + std::string(kUnreadableMark) + std::to_string(number) + "\"";
+    for (size_t at = text.find(mark); at != std::string::npos;
+         at = text.find(mark, at)) {
+      text.replace(at, mark.size(), UnreadableSpec(number));
+    }
+  }
+  m_server.Respond(id, head, text);
 }
 
 }  // namespace burdockhill::soak
--- a/soak/store.h
+++ b/soak/store.h
@@ -21,6 +21,9 @@
 
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& spec);
+  // Writes an entry that cannot be read, one of some kinds.
+  void PutUnreadable(const std::string& kind, const std::string& name,
+                     uint64_t number);
   void Delete(const std::string& kind, const std::string& name);
   void SetOutage(Outage outage) { m_outage = outage; }
   // Discards the change history: watches from an older revision get status 410.
