--- a/tests/gateway_test_upstream_statements.cc
+++ b/tests/gateway_test_upstream_statements.cc
@@ -23,7 +23,7 @@
   std::string AnswerPlain(int status, const std::string& headers) {
     const SocketId id = ReadCall();
     if (!id.IsValid()) return "";
-    const std::string address = m_sockets.GetConnection(id).address;
+    std::string address = m_sockets.GetConnection(id).address;
     m_sockets.Inject(
         id, HttpResponse(status, "X-Request-Id: r1\r\n" + headers, "body"));
     return address;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -5,7 +5,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -390,6 +392,12 @@
           "\"control \x01\""};
 }
 
+std::string Join(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view part : parts) text.append(part);
+  return text;
+}
+
 }  // namespace
 
 // Guards against one unreadable entry that hides the others of its page, of a
@@ -399,12 +407,12 @@
     const std::string before =
         R"({"metadata":{"name":"a","revision":2},"spec":{"x":"]}\"["}})";
     const std::string object =
-        R"({"metadata":{"name":"o","revision":3},"spec":)" + odd + "}";
+        Join({R"({"metadata":{"name":"o","revision":3},"spec":)", odd, "}"});
     const std::string after =
         R"({"metadata":{"name":"z","revision":4},"spec":{}})";
     const auto list =
-        m_codec.DecodePage(R"({"asOf":9,"items":[)" + before + "," + object +
-                           " , " + after + R"(],"hasMore":true})");
+        m_codec.DecodePage(Join({R"({"asOf":9,"items":[)", before, ",", object,
+                                 " , ", after, R"(],"hasMore":true})"}));
     CHECK_TEXT(list.has_value(), odd.substr(0, 50).c_str());
     LONGS_EQUAL(3, list->objects.size());
     CHECK(list->is_list && list->has_more);
@@ -412,14 +420,14 @@
     STRCMP_EQUAL("o", list->objects[1].name.c_str());
     STRCMP_EQUAL("z", list->objects[2].name.c_str());
     const auto watch = m_codec.DecodePage(
-        R"({"events":[{"deleted":false,"object":)" + object +
-        R"(},{"deleted":true,"object":)" + after + R"(}],"asOf":9})");
+        Join({R"({"events":[{"deleted":false,"object":)", object,
+              R"(},{"deleted":true,"object":)", after, R"(}],"asOf":9})"}));
     LONGS_EQUAL(2, watch->objects.size());
     CHECK(!watch->is_list);
     CHECK(!watch->objects[0].deleted && watch->objects[1].deleted);
     const auto metadata =
-        m_codec.DecodePage(R"({"asOf":9,"items":[{"metadata":)" + odd +
-                           R"(,"spec":{}},)" + after + "]}");
+        m_codec.DecodePage(Join({R"({"asOf":9,"items":[{"metadata":)", odd,
+                                 R"(,"spec":{}},)", after, "]}"}));
     LONGS_EQUAL(1, metadata->objects.size());
     LONGS_EQUAL(1, metadata->unnamed_objects);
   }
@@ -469,8 +477,8 @@
 TEST(EngineCodec, AnUnreadableRunCostsOnlyItself) {
   for (const std::string& odd : UnreadableTexts()) {
     const auto report = m_codec.DecodeReport(
-        R"({"stage":"decode","kvTotal":90000,"odd":)" + odd + R"(,"runs":[[)" +
-        odd + R"(,5],["id",5000,3,5]]})");
+        Join({R"({"stage":"decode","kvTotal":90000,"odd":)", odd,
+              R"(,"runs":[[)", odd, R"(,5],["id",5000,3,5]]})"}));
     CHECK_TEXT(report.has_value(), odd.substr(0, 50).c_str());
     LONGS_EQUAL(90000, report->kv_capacity.Value());
     LONGS_EQUAL(1, report->runs.size());
