Split stream_calls.cc by concern

829 lines held the life of a stream, its placement on engines and the responses of engines. They are now three files of the same class; no behaviour changes. SharedPartsText, which two of them use, moves to codecs.cc.

--- a/burdockhill/src/gateway/codecs.cc
+++ b/burdockhill/src/gateway/codecs.cc
@@ -21,6 +21,15 @@
   return Tokens(max_output > 0 ? std::min(estimate, max_output) : estimate);
 }
 
+std::string SharedPartsText(const InboundRequest& request) {
+  std::string text;
+  for (const PromptPartName& part : request.shared_prompt_parts) {
+    if (!text.empty()) text += ",";
+    text += part.Value();
+  }
+  return text;
+}
+
 RequestId HashRequestId(std::string_view caller_id) {
   return RequestId(XXH64(caller_id.data(), caller_id.size(), 0) | 1);
 }
--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -41,6 +41,9 @@
 // maximum, else a default. Never more than the caller's maximum.
 Tokens ExpectedOutputTokens(const InboundRequest& request);
 
+// The shared parts of the prompt, separated by commas, for logs.
+std::string SharedPartsText(const InboundRequest& request);
+
 // Where the KV cache of a prompt is held. The engine keeps it for a short time
 // only.
 struct KvLocation {
--- /dev/null
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -0,0 +1,283 @@
+// How StreamCalls handles the responses of engines, and their failures.
+
+#include <algorithm>
+#include <utility>
+
+#include "burdockhill/src/gateway/stream_calls.h"
+
+namespace burdockhill {
+
+namespace {
+
+constexpr int kMaxDecodeCalls = 4;
+// Reading from the engine pauses when more bytes to the caller are queued here,
+// and continues once the operating system has accepted all of them.
+constexpr size_t kHighWatermarkBytes = size_t{256} << 10;
+// A response that is no stream is buffered; a longer one is not understood.
+constexpr size_t kMaxResponseBytes = size_t{1} << 20;
+
+}  // namespace
+
+bool StreamCalls::OnResponseHead(http::CallId id, const http::Head& head) {
+  Stream* stream = FindStream(id);
+  if (stream == nullptr) return true;
+  const ResponseMetadata metadata =
+      m_board->codec->DecodeResponseMetadata(head);
+  if (metadata.request_id != stream->routed.request.id) {
+    m_board->log->Write("answer_skipped",
+                        {{"request", stream->routed.request.id},
+                         {"answer_to", metadata.request_id},
+                         {"upstream", stream->routed.last_upstream.Value()}});
+    return false;
+  }
+  RecordStatements(m_board, stream->routed, head, metadata,
+                   stream->call_started_at);
+  stream->response_head = head;
+  if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
+  stream->may_have_run = true;
+  if (head.status == http::kOk && http::IsEventStream(head)) {
+    ForwardHead(stream, head);
+  }
+  return true;
+}
+
+void StreamCalls::ForwardHead(Stream* stream, const http::Head& head) {
+  stream->is_forwarding = true;
+  stream->events.BeginResponse();
+  if (std::exchange(stream->head_sent, true)) return;
+  http::Head response = head;
+  http::RemoveConnectionHeaders(&response.headers);
+  m_board->server->StartStream(stream->routed.exchange, response);
+}
+
+void StreamCalls::OnResponseBody(http::CallId id, std::string_view bytes) {
+  Stream* stream = FindStream(id);
+  if (stream == nullptr) return;
+  if (!stream->is_forwarding) {
+    stream->response_body.append(bytes);
+    if (stream->response_body.size() > kMaxResponseBytes) RejectBytes(id);
+    return;
+  }
+  const int64_t earlier_events = stream->events.Count();
+  const std::string complete_events = stream->events.Append(bytes);
+  if (stream->events.IsTooLong()) return RejectBytes(id);
+  if (complete_events.empty()) return;
+  if (stream->events.Count() > earlier_events) {
+    RecordEvent(stream, /*first=*/earlier_events == 0);
+  }
+  const http::ExchangeId exchange = stream->routed.exchange;
+  m_board->server->WriteStream(exchange, complete_events);
+  if (m_board->server->PendingBytes(exchange) > kHighWatermarkBytes) {
+    m_board->connections->SetReading(id, false);
+  }
+}
+
+void StreamCalls::RejectBytes(http::CallId id) {
+  m_board->connections->Cancel(id);
+  OnCallFailed(id, http::CallFailure::kMalformed);
+}
+
+void StreamCalls::RecordEvent(Stream* stream, bool first) {
+  const TimePoint now = m_board->clock->Now();
+  if (first) {
+    const Duration latency = now - stream->routed.arrived_at;
+    m_board->metrics
+        .HistogramFor("burdockhill_first_event_seconds",
+                      LabelsFor(stream->routed.service))
+        ->Add(std::chrono::duration<double>(latency).count());
+    m_reservations->RecordSuccess(stream->decode_engine);
+    // Only now is it known that the KV cache has arrived.
+    if (stream->kv_in_call.has_value()) {
+      m_reservations->RecordSuccess(stream->prefill_engine);
+    }
+    // The prompt has been computed, also if the decode engine did it.
+    ReleasePrefill(stream);
+    stream->first_event_at = now;
+  } else {
+    stream->longest_gap =
+        std::max(stream->longest_gap, now - stream->last_event_at);
+  }
+  stream->last_event_at = now;
+  if (stream->answer_started_at == TimePoint()) stream->answer_started_at = now;
+  if (now - stream->answer_started_at >=
+      PromptPartQuarantine::kSoundAnswerTime) {
+    RecordSoundAnswer(stream);
+  }
+}
+
+void StreamCalls::RecordSoundAnswer(Stream* stream) {
+  if (std::exchange(stream->answer_is_sound, true)) return;
+  m_board->prompt_parts.RecordSoundAnswer(
+      stream->routed.request.shared_prompt_parts, stream->call_started_at);
+}
+
+void StreamCalls::OnResponseEnd(http::CallId id) {
+  Stream* stream = FindStream(id);
+  if (stream == nullptr) return;
+  m_exchanges_by_call.Erase(id);
+  stream->call = http::CallId();
+  if (stream->phase == Phase::kPrefilling) return OnPrefillEnd(stream);
+  OnDecodeEnd(stream);
+}
+
+void StreamCalls::OnPrefillEnd(Stream* stream) {
+  ReleasePrefill(stream);
+  const RegisteredUpstream* upstream =
+      m_board->upstreams.Find(stream->prefill_engine);
+  if (stream->response_head.status != http::kOk || upstream == nullptr) {
+    return OnPrefillFailed(
+        stream, /*was_sent=*/true,
+        "prefill status " + std::to_string(stream->response_head.status));
+  }
+  stream->calls.RecordPrefillDone();
+  m_prefill_rate.AddSample(stream->routed.request.prompt_tokens,
+                           m_board->clock->Now() - stream->call_started_at);
+  stream->kv = m_board->codec->DecodePrefill(*upstream, stream->response_body);
+  if (!stream->kv.has_value()) {
+    return OnPrefillFailed(stream, /*was_sent=*/true, "prefill not understood");
+  }
+  StartDecode(stream);
+}
+
+void StreamCalls::OnPrefillFailed(Stream* stream, bool was_sent,
+                                  std::string_view reason) {
+  m_board->log->Write("prefill_failed",
+                      {{"request", stream->routed.request.id},
+                       {"engine", stream->prefill_engine.Value()},
+                       {"reason", std::string(reason)}});
+  if (was_sent) {
+    m_reservations->RecordFailure(stream->prefill_engine);
+  } else {
+    m_reservations->RecordUnreachable(stream->prefill_engine);
+  }
+  ReleasePrefill(stream);
+  stream->excluded_prefill_engines.insert(stream->prefill_engine);
+  if (!was_sent) {
+    --stream->prefill_calls;
+    stream->calls.RecordNotSent();
+  }
+  ReservePrefillEngine(stream);
+}
+
+void StreamCalls::OnDecodeEnd(Stream* stream) {
+  const ResponseMetadata metadata =
+      m_board->codec->DecodeResponseMetadata(stream->response_head);
+  const RoutedRequest& routed = stream->routed;
+  if (metadata.not_run) {
+    return stream->kv_in_call.has_value()
+               ? OnKvLost(stream)
+               : OnDecodeRejected(stream, "engine rejected it");
+  }
+  if (stream->is_forwarding) {
+    if (!stream->events.EndsStream(FramingOf(stream->response_head))) {
+      return OnDecodeInterrupted(stream, "response ended inside the stream");
+    }
+    LogStreamEnd(*stream);
+    m_board->server->WriteStream(routed.exchange,
+                                 stream->events.DrainPartial());
+    m_board->server->EndStream(routed.exchange);
+    if (!m_board->poison_detector.IsEmpty()) {
+      m_board->poison_detector.RecordCompleteResponse(routed.Fingerprint());
+    }
+    RecordSoundAnswer(stream);
+    return FinishStream(stream);
+  }
+  if (stream->head_sent) return OnDecodeBroken(stream, "resume was refused");
+  http::Head head = std::move(stream->response_head);
+  http::RemoveConnectionHeaders(&head.headers);
+  m_board->server->Respond(routed.exchange, head, stream->response_body);
+  FinishStream(stream);
+}
+
+void StreamCalls::OnDecodeRejected(Stream* stream, std::string_view reason) {
+  const TimePoint now = m_board->clock->Now();
+  RoutedRequest& routed = stream->routed;
+  m_board->log->Write("decode_rejected",
+                      {{"request", routed.request.id},
+                       {"engine", stream->decode_engine.Value()},
+                       {"reason", std::string(reason)}});
+  stream->excluded_decode_engines.insert(stream->decode_engine);
+  ReleaseAttempt(stream);
+  const bool may_retry = stream->decode_calls < kMaxDecodeCalls &&
+                         now < routed.deadline &&
+                         PayForRetries(stream, stream->calls.DueBeforeDecode());
+  if (may_retry) return ReserveDecodeEngine(stream);
+  FailOverloaded(stream, Duration(0), reason);
+}
+
+void StreamCalls::OnKvLost(Stream* stream) {
+  const RoutedRequest& routed = stream->routed;
+  const TimePoint now = m_board->clock->Now();
+  m_board->log->Write("kv_lost",
+                      {{"request", routed.request.id},
+                       {"prefill_engine", stream->prefill_engine.Value()},
+                       {"engine", stream->decode_engine.Value()}});
+  // Memory was reserved, so the cause must be that the KV cache is lost.
+  m_reservations->RecordFailure(stream->prefill_engine);
+  stream->excluded_prefill_engines.insert(stream->prefill_engine);
+  if (stream->decode_calls >= kMaxDecodeCalls || now >= routed.deadline ||
+      !PayForRetries(stream, stream->calls.DueBeforeDecode())) {
+    return OnDecodeRejected(stream, "KV cache is gone");
+  }
+  if (!IsUsable(m_board->upstreams.Find(stream->decode_engine))) {
+    return OnDecodeRejected(stream, "engine is leaving or pauses");
+  }
+  // A short prompt is computed by the decode engine, which takes one call
+  // instead of two. A long one would stall the other streams on that engine.
+  if (DecideLocalPrefill(*stream).allowed) return StartDecode(stream);
+  ReservePrefillEngine(stream);
+}
+
+void StreamCalls::OnCallFailed(http::CallId id, http::CallFailure failure) {
+  Stream* stream = FindStream(id);
+  if (stream == nullptr) return;
+  m_exchanges_by_call.Erase(id);
+  stream->call = http::CallId();
+  const bool not_sent = failure == http::CallFailure::kNotSent;
+  if (stream->phase == Phase::kPrefilling) {
+    return OnPrefillFailed(stream, !not_sent, "connection failed");
+  }
+  if (not_sent) {
+    stream->calls.RecordNotSent();
+    m_reservations->RecordUnreachable(stream->decode_engine);
+    m_board->poison_detector.RecordUnreachable(stream->decode_engine,
+                                               m_board->clock->Now());
+    stream->kv = std::exchange(stream->kv_in_call, std::nullopt);
+    return OnDecodeRejected(stream, "no connection");
+  }
+  OnDecodeInterrupted(stream, failure == http::CallFailure::kBroken
+                                  ? "connection broke"
+                                  : "malformed answer");
+}
+
+void StreamCalls::OnDecodeInterrupted(Stream* stream, std::string_view reason) {
+  m_reservations->RecordFailure(stream->decode_engine);
+  const RoutedRequest& routed = stream->routed;
+  m_board->poison_detector.RecordBrokenConnection(
+      routed.Fingerprint(), stream->decode_engine, m_board->clock->Now(),
+      stream->answer_is_sound ? std::vector<PromptPartName>()
+                              : routed.request.shared_prompt_parts);
+  stream->may_have_run = true;
+  OnDecodeBroken(stream, reason);
+}
+
+void StreamCalls::OnDecodeBroken(Stream* stream, std::string_view reason) {
+  RoutedRequest& routed = stream->routed;
+  const TimePoint now = m_board->clock->Now();
+  stream->excluded_decode_engines.insert(stream->decode_engine);
+  ReleaseAttempt(stream);
+  const bool retry = routed.route.kind == RequestKind::kResumableStream &&
+                     stream->decode_calls < kMaxDecodeCalls &&
+                     now < routed.deadline && !IsBarred(m_board, routed) &&
+                     PayForRetries(stream, stream->calls.DueBeforeDecode());
+  if (!retry) return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
+  stream->caller_waiting_since = now;
+  m_board->log->Write("stream_resumed",
+                      {{"request", routed.request.id},
+                       {"after_event", LastEventId(*stream)},
+                       {"parts", SharedPartsText(routed.request)},
+                       {"reason", std::string(reason)}});
+  ReserveDecodeEngine(stream);
+}
+
+}  // namespace burdockhill
