Versions of upstreams' software are decoded

The directory did not know which version of its software an upstream runs, so nothing could keep a stream at the version that began it. RegisteredUpstream now has it; nothing decides by it yet. StreamOrigins is the interface through which an entry will learn which version began a stream that a caller takes up again.

platform_test: the decoded version is checked; the platform already required the field.

--- a/burdockhill/gateway.h
+++ b/burdockhill/gateway.h
@@ -13,6 +13,7 @@
 #include "burdockhill/src/gateway/peer_relay.h"        // IWYU pragma: export
 #include "burdockhill/src/gateway/reservations.h"      // IWYU pragma: export
 #include "burdockhill/src/gateway/settings.h"          // IWYU pragma: export
+#include "burdockhill/src/gateway/stream_origins.h"    // IWYU pragma: export
 #include "burdockhill/src/gateway/upstream_permits.h"  // IWYU pragma: export
 
 #endif  // BURDOCKHILL_GATEWAY_H_
--- a/burdockhill/src/base/id.h
+++ b/burdockhill/src/base/id.h
@@ -55,9 +55,18 @@
 using VmName = NameId<struct VmNameTag>;
 using ZoneName = NameId<struct ZoneNameTag>;
 using RegionName = NameId<struct RegionNameTag>;
+// Version of the software of an upstream. Versions have no order. The empty one
+// is unknown.
+using SoftwareVersion = NameId<struct SoftwareVersionTag>;
 // A part of a prompt that several prompts may begin with or contain.
 using PromptPartName = NameId<struct PromptPartNameTag>;
 
+// Whether both versions are known and the same.
+inline bool AreSameVersion(const SoftwareVersion& one,
+                           const SoftwareVersion& other) {
+  return one.IsValid() && one == other;
+}
+
 // Identifies an attempt: work that an entry sends to one agent for a request (a
 // decode reservation, a prefill or a call to a plain service). An id is never
 // reused for another agent.
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -21,6 +21,7 @@
   ServiceName service;
   std::string address;  // "host:port".
   ZoneName zone;
+  SoftwareVersion version;         // Of the process; may be unknown.
   bool leaving = false;            // Accepts no new calls.
   std::optional<EngineRole> role;  // Model engines only.
   int slots = 0;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -221,6 +221,7 @@
   CHECK(upstream->role == EngineRole::kDecode);
   CHECK(!upstream->leaving);
   LONGS_EQUAL(3, upstream->revision.number);
+  STRCMP_EQUAL("v1", upstream->version.Value().c_str());
 }
 
 // `kServer` with `from` replaced by `to`.
