The log tells a silent engine from a broken connection

A stream whose engine has sent nothing for a time was logged with the reason "connection broke", like one whose engine broke off, so that the hypotheses on the lost requests of Kawit could not be told apart. `stream_silent` names the engine and the last event. No change of logic.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -122,6 +122,11 @@
     OnCallFailed(call, http::CallFailure::kBroken);
   }
   for (const http::CallId call : silent_decodes) {
+    const Stream* stream = FindStream(call);
+    m_board->log->Write("stream_silent",
+                        {{"request", stream->routed.request.id},
+                         {"engine", stream->decode_engine.Value()},
+                         {"after_event", LastEventId(*stream)}});
     m_board->connections->Cancel(call);
     OnCallFailed(call, http::CallFailure::kBroken);
   }
