A stream whose engine falls silent is not cut before another one serves it

Cause: an engine without an event for 1.2 s was taken for one that had broken off. Its call was cancelled first, and then another engine was looked for: without one, for lack of room, of retry budget or since its call failed, the stream was aborted. A stream whose caller had paused reading, so that the entry itself had stopped to read, was cut the same way. Class: silence taken for failure.

Fix: the silent call is set aside with its state and its reservation while the next engine is prepared. Whichever sends first serves the stream; if the next engine cannot be had or fails, the silent call goes on until the deadline. It is cancelled once the answer of the next engine has begun, so that both never work on it for longer than a round trip. The time does not count while the entry does not read.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -11,20 +11,12 @@
 // this time and this many latency targets.
 constexpr Duration kMinPrefillTimeout = std::chrono::milliseconds(2000);
 constexpr int kPrefillTimeoutTargets = 2;
-// A resumable stream without a new event for the longer of this time and this
-// many gap targets is resumed on another engine.
-constexpr Duration kMinEventTimeout = std::chrono::milliseconds(1200);
-constexpr int kEventTimeoutGaps = 4;
 
 Duration PrefillTimeout(const Route& route) {
   return std::max(kMinPrefillTimeout,
                   kPrefillTimeoutTargets * route.latency_target);
 }
 
-Duration EventTimeout(const Route& route) {
-  return std::max(kMinEventTimeout, kEventTimeoutGaps * route.gap_target);
-}
-
 }  // namespace
 
 void StreamCalls::Begin(RoutedRequest routed) {
@@ -58,12 +50,19 @@
 }
 
 void StreamCalls::OnOutputDrained(http::ExchangeId id) {
-  const Stream* stream = m_streams.Find(id);
-  if (stream != nullptr) m_board->connections->SetReading(stream->call, true);
+  Stream* stream = m_streams.Find(id);
+  if (stream == nullptr) return;
+  m_board->connections->SetReading(stream->call, true);
+  if (stream->silent_call.has_value()) {
+    m_board->connections->SetReading(stream->silent_call->call, true);
+  }
+  if (!std::exchange(stream->reading_paused, false)) return;
+  stream->silent_since = m_board->clock->Now();
 }
 
 bool StreamCalls::RefuseIfBarred(Stream* stream) {
   if (!IsBarred(m_board, stream->routed)) return false;
+  if (ReturnToSilentCall(stream)) return true;
   constexpr std::string_view kReason = "upstreams that ran it have crashed";
   if (stream->may_have_run) {
     FailUnknown(stream, ErrorKind::kUpstreamFailed, kReason);
@@ -93,7 +92,7 @@
   if (m_board->prompt_parts.TakeNewBlame()) RefuseBarredStreams();
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::CallId> slow_prefills;
-  std::vector<http::CallId> silent_decodes;
+  std::vector<http::ExchangeId> silent;
   std::vector<http::ExchangeId> resumed;
   // The process ends soon, and each caller gets an answer before.
   const bool stopping = m_board->shutdown_deadline != TimePoint() &&
@@ -108,10 +107,8 @@
                now - stream.call_started_at >
                    PrefillTimeout(stream.routed.route)) {
       slow_prefills.push_back(stream.call);
-    } else if (stream.phase == Phase::kDecoding &&
-               stream.routed.route.kind == RequestKind::kResumableStream &&
-               now - stream.last_event_at > EventTimeout(stream.routed.route)) {
-      silent_decodes.push_back(stream.call);
+    } else if (IsSilent(stream)) {
+      silent.push_back(id);
     }
   }
   for (const http::ExchangeId id : resumed) {
@@ -121,18 +118,13 @@
     m_board->connections->Cancel(call);
     OnCallFailed(call, http::CallFailure::kBroken);
   }
-  for (const http::CallId call : silent_decodes) {
-    const Stream* stream = FindStream(call);
-    m_board->log->Write("stream_silent",
-                        {{"request", stream->routed.request.id},
-                         {"engine", stream->decode_engine.Value()},
-                         {"after_event", LastEventId(*stream)}});
-    m_board->connections->Cancel(call);
-    OnCallFailed(call, http::CallFailure::kBroken);
+  for (const http::ExchangeId id : silent) {
+    if (Stream* stream = m_streams.Find(id)) PrepareNextEngine(stream);
   }
   for (const http::ExchangeId id : timed_out) {
     Stream* stream = m_streams.Find(id);
     if (stream == nullptr) continue;
+    ReleaseSilentCall(stream);
     if (stream->phase == Phase::kDecoding || stream->may_have_run) {
       FailUnknown(stream, ErrorKind::kTimeout, "out of time");
     } else {
@@ -171,6 +163,7 @@
 
 void StreamCalls::FailOverloaded(Stream* stream, Duration retry_after,
                                  std::string_view reason) {
+  if (ReturnToSilentCall(stream)) return;
   if (stream->may_have_run) {
     return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
   }
@@ -194,6 +187,7 @@
 
 void StreamCalls::FailUnknown(Stream* stream, ErrorKind kind,
                               std::string_view reason) {
+  if (ReturnToSilentCall(stream)) return;
   ReleaseAttempt(stream);
   const RoutedRequest& routed = stream->routed;
   if (!stream->head_sent) {
@@ -245,6 +239,7 @@
 }
 
 void StreamCalls::FinishStream(Stream* stream) {
+  ReleaseSilentCall(stream);
   ReleaseAttempt(stream);
   m_streams.Erase(stream->routed.exchange);
 }
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -21,6 +21,10 @@
 // events are forwarded to the caller as they arrive. If a resumable stream
 // breaks off, it continues on another engine after the last event that was
 // forwarded.
+//
+// An engine may fall silent for a time and go on. While it is silent, another
+// engine is prepared, and the one that sends first serves the stream from then
+// on. Without another engine the stream stays where it is until its deadline.
 class StreamCalls : public ReservationEvents,
                     private http::CallEvents,
                     private PermitEvents {
@@ -56,6 +60,23 @@
     kDecoding
   };
 
+  // A decode call whose engine has fallen silent, with the state of the stream
+  // that belongs to it.
+  struct SilentCall {
+    http::CallId call;
+    TimePoint call_started_at{};
+    AttemptId decode_attempt;
+    UpstreamName decode_engine;
+    UpstreamName prefill_engine;
+    int64_t engine_started_at_ms = 0;
+    std::optional<KvLocation> kv_in_call;
+    bool is_forwarding = false;
+    http::Head response_head;
+    std::string response_body;
+    TimePoint answer_started_at{};
+    bool answer_is_sound = false;
+  };
+
   struct Stream {
     RoutedRequest routed;
     Phase phase = Phase::kReservingDecode;
@@ -84,6 +105,12 @@
     http::Head response_head;
     std::string response_body;  // Of responses that are no event streams.
     TimePoint last_event_at{};
+    // Since when the engine of the current decode call is silent, or since the
+    // latest search for another one.
+    TimePoint silent_since{};
+    bool reading_paused = false;  // The caller has to read first.
+    // Goes on if its engine speaks again before the next one.
+    std::optional<SilentCall> silent_call;
     TimePoint answer_started_at{};  // First event of the current decode call.
     bool answer_is_sound = false;   // See PromptPartQuarantine.
     // Since when the caller waits for the first event, or for the next one
@@ -159,6 +186,27 @@
   // The decode engine may have run the request, and its response is incomplete:
   // resumes the stream if possible.
   void OnDecodeBroken(Stream* stream, std::string_view reason);
+  // Whether the stream, which may be resumed, may go on at another engine.
+  // Takes the next call from the retry budget.
+  bool MayMoveOn(Stream* stream);
+  // Whether the engine of the current decode call has sent no event for so long
+  // that another one is prepared.
+  bool IsSilent(const Stream& stream) const;
+  // Prepares another engine while the call of the silent one goes on.
+  void PrepareNextEngine(Stream* stream);
+  static bool IsSilentCall(const Stream& stream, http::CallId id) {
+    return stream.silent_call.has_value() && stream.silent_call->call == id;
+  }
+  // Gives up the next engine and goes on with the call of the silent one; false
+  // if there is no such call.
+  bool ReturnToSilentCall(Stream* stream);
+  // The answer of the next engine has begun.
+  void ReplaceSilentCall(Stream* stream);
+  // The silent engine has broken off.
+  void OnSilentCallFailed(Stream* stream);
+  // The engine of the silent call counts as one that broke off.
+  void RecordSilentCallBroken(const Stream& stream);
+  void ReleaseSilentCall(Stream* stream);
   void ForwardHead(Stream* stream, const http::Head& head);
   // Releases the reservations, the KV cache and the call of the current
   // attempt.
--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -310,6 +310,7 @@
   if (last > 0) call.resume_after_event_id = last;
   stream->prefilled_at = now;
   stream->last_event_at = now;
+  stream->silent_since = now;
   stream->answer_started_at = TimePoint();
   stream->answer_is_sound = false;
   if (!StartCall(stream, *upstream, call)) {
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -30,6 +30,7 @@
                          {"upstream", stream->routed.last_upstream.Value()}});
     return false;
   }
+  if (IsSilentCall(*stream, id)) ReturnToSilentCall(stream);
   RecordStatements(m_board, stream->routed, head, metadata,
                    stream->call_started_at);
   stream->response_head = head;
@@ -42,6 +43,7 @@
 }
 
 void StreamCalls::ForwardHead(Stream* stream, const http::Head& head) {
+  ReplaceSilentCall(stream);
   stream->is_forwarding = true;
   stream->events.BeginResponse();
   if (std::exchange(stream->head_sent, true)) return;
@@ -53,7 +55,11 @@
 void StreamCalls::OnResponseBody(http::CallId id, std::string_view bytes) {
   Stream* stream = FindStream(id);
   if (stream == nullptr) return;
-  if (!stream->is_forwarding) {
+  bool is_silent = IsSilentCall(*stream, id);
+  if (is_silent && !stream->silent_call->is_forwarding) {
+    is_silent = !ReturnToSilentCall(stream);
+  }
+  if (!is_silent && !stream->is_forwarding) {
     stream->response_body.append(bytes);
     if (stream->response_body.size() > kMaxResponseBytes) RejectBytes(id);
     return;
@@ -63,11 +69,13 @@
   if (stream->events.IsTooLong()) return RejectBytes(id);
   if (complete_events.empty()) return;
   if (stream->events.Count() > earlier_events) {
+    if (is_silent) ReturnToSilentCall(stream);
     RecordEvent(stream, /*first=*/earlier_events == 0);
   }
   const http::ExchangeId exchange = stream->routed.exchange;
   m_board->server->WriteStream(exchange, complete_events);
   if (m_board->server->PendingBytes(exchange) > kHighWatermarkBytes) {
+    stream->reading_paused = true;
     m_board->connections->SetReading(id, false);
   }
 }
@@ -98,6 +106,7 @@
         std::max(stream->longest_gap, now - stream->last_event_at);
   }
   stream->last_event_at = now;
+  stream->silent_since = now;
   if (stream->answer_started_at == TimePoint()) stream->answer_started_at = now;
   if (now - stream->answer_started_at >=
       PromptPartQuarantine::kSoundAnswerTime) {
@@ -114,6 +123,7 @@
 void StreamCalls::OnResponseEnd(http::CallId id) {
   Stream* stream = FindStream(id);
   if (stream == nullptr) return;
+  if (IsSilentCall(*stream, id)) ReturnToSilentCall(stream);
   m_exchanges_by_call.Erase(id);
   stream->call = http::CallId();
   if (stream->phase == Phase::kPrefilling) return OnPrefillEnd(stream);
@@ -182,7 +192,9 @@
     RecordSoundAnswer(stream);
     return FinishStream(stream);
   }
-  if (stream->head_sent) return OnDecodeBroken(stream, "resume was refused");
+  if (stream->head_sent || stream->silent_call.has_value()) {
+    return OnDecodeBroken(stream, "resume was refused");
+  }
   http::Head head = std::move(stream->response_head);
   http::RemoveConnectionHeaders(&head.headers);
   m_board->server->Respond(routed.exchange, head, stream->response_body);
@@ -232,6 +244,7 @@
   Stream* stream = FindStream(id);
   if (stream == nullptr) return;
   m_exchanges_by_call.Erase(id);
+  if (IsSilentCall(*stream, id)) return OnSilentCallFailed(stream);
   stream->call = http::CallId();
   const bool not_sent = failure == http::CallFailure::kNotSent;
   if (stream->phase == Phase::kPrefilling) {
@@ -266,11 +279,9 @@
   const TimePoint now = m_board->clock->Now();
   stream->excluded_decode_engines.insert(stream->decode_engine);
   ReleaseAttempt(stream);
-  const bool retry = routed.route.kind == RequestKind::kResumableStream &&
-                     stream->decode_calls < kMaxDecodeCalls &&
-                     now < routed.deadline && !IsBarred(m_board, routed) &&
-                     PayForRetries(stream, stream->calls.DueBeforeDecode());
-  if (!retry) return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
+  if (!MayMoveOn(stream)) {
+    return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
+  }
   stream->caller_waiting_since = now;
   m_board->log->Write("stream_resumed",
                       {{"request", routed.request.id},
@@ -280,4 +291,13 @@
   ReserveDecodeEngine(stream);
 }
 
+bool StreamCalls::MayMoveOn(Stream* stream) {
+  const RoutedRequest& routed = stream->routed;
+  return routed.route.kind == RequestKind::kResumableStream &&
+         stream->decode_calls < kMaxDecodeCalls &&
+         m_board->clock->Now() < routed.deadline &&
+         !IsBarred(m_board, routed) &&
+         PayForRetries(stream, stream->calls.DueBeforeDecode());
+}
+
 }  // namespace burdockhill
--- a/burdockhill/src/routing/retry_budget.cc
+++ b/burdockhill/src/routing/retry_budget.cc
@@ -22,16 +22,22 @@
   CurrentWindow(service, now).requests.push_back(now);
 }
 
+bool RetryBudget::HasRoom(const Window& window, int retries) const {
+  const double allowed =
+      m_limits.ratio * static_cast<double>(window.requests.size()) +
+      m_limits.reserve;
+  return static_cast<double>(window.retries.size()) + retries <= allowed;
+}
+
+bool RetryBudget::Allows(const ServiceName& service, TimePoint now) {
+  return HasRoom(CurrentWindow(service, now), 1);
+}
+
 bool RetryBudget::TrySpend(const ServiceName& service, TimePoint now,
                            int retries) {
   if (retries == 0) return true;
   Window& window = CurrentWindow(service, now);
-  const double allowed =
-      m_limits.ratio * static_cast<double>(window.requests.size()) +
-      m_limits.reserve;
-  if (static_cast<double>(window.retries.size()) + retries > allowed) {
-    return false;
-  }
+  if (!HasRoom(window, retries)) return false;
   window.retries.insert(window.retries.end(), static_cast<size_t>(retries),
                         now);
   return true;
--- a/burdockhill/src/routing/retry_budget.h
+++ b/burdockhill/src/routing/retry_budget.h
@@ -26,6 +26,8 @@
 
   // Records that a caller's request for the service was accepted for routing.
   void CountRequest(const ServiceName& service, TimePoint now);
+  // Whether the budget allows a retry now.
+  bool Allows(const ServiceName& service, TimePoint now);
   // Records the retries and returns true, or returns false if the budget does
   // not allow all of them.
   bool TrySpend(const ServiceName& service, TimePoint now, int retries = 1);
@@ -36,6 +38,7 @@
     std::deque<TimePoint> retries;
   };
 
+  bool HasRoom(const Window& window, int retries) const;
   // The service's window, without what is older than `m_limits.window`.
   Window& CurrentWindow(const ServiceName& service, TimePoint now);
 
