An idempotent call to a silent upstream is not cancelled without another one

Callers got a 502 for a call whose upstream was sound and silent for a second or so, and would have answered.

A call without a response after three latency targets was cancelled first; whether the retry budget and another upstream allowed to repeat it was found out afterwards. Class: silence taken for failure.

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -13,7 +13,7 @@
 // always safe, since nothing was sent.
 constexpr int kMaxFailedConnects = 4;
 // An idempotent call without a response is cancelled and retried on another
-// upstream after this multiple of the route's latency target.
+// upstream, if there is one, after this multiple of the route's latency target.
 constexpr int kResponseTimeoutInTargets = 3;
 constexpr int kFirstServerErrorStatus = 500;
 // Calls that must not be repeated do not use keep-alive connections that were
@@ -333,6 +333,14 @@
          request.possible_runs < request.routed.route.max_attempts;
 }
 
+bool PlainRequests::HasNextUpstream(const Request& request) const {
+  const TimePoint now = m_board->clock->Now();
+  if (!m_board->retry_budget.Allows(request.routed.service, now)) return false;
+  const RegisteredUpstream* next = ChooseUpstream(request);
+  return next != nullptr && !m_permits->IsNeeded(next->name) &&
+         MayRetry(request, CallOutcome::kMayHaveRun);
+}
+
 void PlainRequests::RetryOrGiveUp(Request* request, CallOutcome outcome,
                                   std::string_view reason) {
   RoutedRequest& routed = request->routed;
@@ -494,7 +502,8 @@
     Place(request);
   }
   for (const http::ExchangeId id : unresponsive) {
-    Request* request = m_requests.Find(id);
+    const Request* request = m_requests.Find(id);
+    if (!HasNextUpstream(*request)) continue;
     const http::CallId call = request->call;
     m_board->connections->Cancel(call);
     OnCallFailed(call, http::CallFailure::kBroken);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -104,6 +104,9 @@
   void GiveUp(Request* request, std::string_view reason);
   // Whether another call is allowed, the retry budget aside.
   bool MayRetry(const Request& request, CallOutcome outcome) const;
+  // Whether the request can be sent to another upstream now, if its call is
+  // cancelled.
+  bool HasNextUpstream(const Request& request) const;
   // Forwards the complete response to the caller and ends the request.
   void Deliver(Request* request);
   void StartStream(Request* request);
--- a/tests/gateway_test_silent_upstreams.cc
+++ b/tests/gateway_test_silent_upstreams.cc
@@ -183,3 +183,15 @@
   CHECK(!GrantLatest<ReserveDecode>());
   CHECK(m_sockets.GetConnection(decode).open);
 }
+
+TEST(SilentUpstreams, AnIdempotentCallIsNotCancelledWithoutAnotherUpstream) {
+  const SocketId caller = Post("/safe/x");
+  const SocketId upstream = EstablishPlain();
+  SpendRetryBudget("plain");
+  AdvanceTime(milliseconds(1900));
+  CHECK(m_sockets.GetConnection(upstream).open);
+  m_sockets.Inject(upstream, HttpResponse(200, "X-Request-Id: r1\r\n", "late"));
+  const std::string answer = m_sockets.DrainOutput(caller);
+  STRCMP_CONTAINS("HTTP/1.1 200", answer.c_str());
+  STRCMP_CONTAINS("late", answer.c_str());
+}
