Memory of the version that began a stream

Cause: a caller takes a stream up again at an entry that knows nothing of it, and a stream may go on only at the version of the upstream's software that began it.

StreamKey moves to routing, which keeps by it.

--- a/burdockhill/routing.h
+++ b/burdockhill/routing.h
@@ -21,6 +21,7 @@
 #include "burdockhill/src/routing/stated_rate_limits.h"  // IWYU pragma: export
 #include "burdockhill/src/routing/stream_budget.h"       // IWYU pragma: export
 #include "burdockhill/src/routing/stream_call_count.h"   // IWYU pragma: export
+#include "burdockhill/src/routing/stream_origin_memory.h"  // IWYU pragma: export
 #include "burdockhill/src/routing/upstream_directory.h"  // IWYU pragma: export
 #include "burdockhill/src/routing/upstream_pauses.h"     // IWYU pragma: export
 
--- a/burdockhill/src/gateway/stream_origins.h
+++ b/burdockhill/src/gateway/stream_origins.h
@@ -3,17 +3,10 @@
 
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
+#include "burdockhill/src/routing/stream_origin_memory.h"
 
 namespace burdockhill {
 
-// The caller attempt that brought the first event of a stream, see
-// HashRequestId. It names the stream when a caller takes it up again.
-struct StreamKey {
-  ServiceName service;
-  RequestId attempt;
-  auto operator<=>(const StreamKey&) const = default;
-};
-
 // One search for the origin of a stream.
 using OriginSearchId = NumericId<struct OriginSearchIdTag>;
 
