Messages that keep and ask for the origin of a stream

Change: StreamOrigin, StreamOriginQuery and StreamOriginAnswer, at the end of the union.

An unknown member of the union made the whole payload count as malformed, which ends the connection. From now on such messages are left out, so that later ones do no harm; an envelope without a message is still refused. Processes that run already end the connection, therefore the Hello tells that its sender keeps origins, and nobody else is to be sent the messages. Fields at the end of a table are ignored by older processes.

--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -31,6 +31,9 @@
   RegionName region;
   Incarnation incarnation;
   std::string nonce;  // Random bytes; makes each session key unique.
+  // The sender keeps what StreamOrigin tells. Processes that do not know that
+  // message close the connection on which it arrives.
+  bool keeps_origins = false;
 };
 
 // Application-level liveness probe. The receiver sends it back with `reply`
@@ -292,6 +295,28 @@
   uint32_t entries = 0;  // That the coordinator knows.
 };
 
+// Entry to agent: an upstream of this version has written the first event of a
+// stream, see StreamKey. The agent keeps it for a time.
+struct StreamOrigin {
+  ServiceName service;
+  RequestId stream;
+  SoftwareVersion version;
+  Duration keep{0};
+};
+
+// Entry to agent: asks which version began a stream.
+struct StreamOriginQuery {
+  uint64_t id = 0;  // Of the search, unique at its sender.
+  ServiceName service;
+  RequestId stream;
+};
+
+// Agent to entry: the answer to a StreamOriginQuery.
+struct StreamOriginAnswer {
+  uint64_t id = 0;
+  SoftwareVersion version;  // Empty if unknown.
+};
+
 using Message =
     std::variant<Hello, Heartbeat, ReserveDecode, StartPrefill, StartDecode,
                  CancelAttempt, RenewHolds, AttachAttempt, CallService,
@@ -299,7 +324,8 @@
                  AttemptFailed, CallAnswered, AttemptReleased, LoadReport,
                  ConfigurationOffer, ConfigurationState, ReservePrefill,
                  Registrations, CrashNotice, PoolRates, PromptPartNotice,
-                 RateLimitNotice, PermitRequest, PermitAnswer>;
+                 RateLimitNotice, PermitRequest, PermitAnswer, StreamOrigin,
+                 StreamOriginQuery, StreamOriginAnswer>;
 
 }  // namespace burdockhill
 
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -69,7 +69,7 @@
     SetBody(Body::Hello,
             CreateHello(b, CreateText(b, m.vm), EnumNumber(m.role),
                         CreateText(b, m.zone), CreateText(b, m.region),
-                        m.incarnation.Value(), nonce));
+                        m.incarnation.Value(), nonce, m.keeps_origins));
   }
   void operator()(const burdockhill::Heartbeat& m) {
     SetBody(Body::Heartbeat, CreateHeartbeat(b, m.sequence, m.reply));
@@ -111,6 +111,20 @@
     SetBody(Body::PermitAnswer,
             CreatePermitAnswer(b, m.id, m.granted, m.wait.count(), m.entries));
   }
+  void operator()(const burdockhill::StreamOrigin& m) {
+    SetBody(Body::StreamOrigin,
+            CreateStreamOrigin(b, CreateText(b, m.service), m.stream.Value(),
+                               CreateText(b, m.version), m.keep.count()));
+  }
+  void operator()(const burdockhill::StreamOriginQuery& m) {
+    SetBody(Body::StreamOriginQuery,
+            CreateStreamOriginQuery(b, m.id, CreateText(b, m.service),
+                                    m.stream.Value()));
+  }
+  void operator()(const burdockhill::StreamOriginAnswer& m) {
+    SetBody(Body::StreamOriginAnswer,
+            CreateStreamOriginAnswer(b, m.id, CreateText(b, m.version)));
+  }
   void operator()(const burdockhill::CrashNotice& m) {
     SetBody(Body::CrashNotice,
             CreateCrashNotice(b, m.fingerprint, CreateText(b, m.upstream)));
@@ -269,6 +283,7 @@
   out.zone = ZoneName(ReadText(m.zone()));
   out.region = RegionName(ReadText(m.region()));
   out.incarnation = Incarnation(m.incarnation());
+  out.keeps_origins = m.keeps_origins();
   if (m.nonce() != nullptr) {
     out.nonce.assign(m.nonce()->begin(), m.nonce()->end());
   }
@@ -345,6 +360,22 @@
                                    m.entries()};
 }
 
+std::optional<Message> Decode(const StreamOrigin& m) {
+  return burdockhill::StreamOrigin{
+      ServiceName(ReadText(m.service())), RequestId(m.stream()),
+      SoftwareVersion(ReadText(m.version())), Duration(m.keep_us())};
+}
+
+std::optional<Message> Decode(const StreamOriginQuery& m) {
+  return burdockhill::StreamOriginQuery{
+      m.id(), ServiceName(ReadText(m.service())), RequestId(m.stream())};
+}
+
+std::optional<Message> Decode(const StreamOriginAnswer& m) {
+  return burdockhill::StreamOriginAnswer{
+      m.id(), SoftwareVersion(ReadText(m.version()))};
+}
+
 std::optional<Message> Decode(const CrashNotice& m) {
   return burdockhill::CrashNotice{m.fingerprint(),
                                   UpstreamName(ReadText(m.upstream()))};
@@ -532,6 +563,12 @@
       return Decode(*e.body_as_PermitRequest());
     case Body::PermitAnswer:
       return Decode(*e.body_as_PermitAnswer());
+    case Body::StreamOrigin:
+      return Decode(*e.body_as_StreamOrigin());
+    case Body::StreamOriginQuery:
+      return Decode(*e.body_as_StreamOriginQuery());
+    case Body::StreamOriginAnswer:
+      return Decode(*e.body_as_StreamOriginAnswer());
     case Body::ReservePrefill:
       return Decode(*e.body_as_ReservePrefill());
     case Body::RenewHolds:
@@ -595,6 +632,8 @@
   std::vector<Message> decoded;
   decoded.reserve(frame->messages()->size());
   for (const Envelope* envelope : *frame->messages()) {
+    // Of a newer process.
+    if (envelope->body_type() > Body::MAX) continue;
     std::optional<Message> message = DecodeBody(*envelope);
     if (!message.has_value()) return false;
     decoded.push_back(*std::move(message));
--- a/burdockhill/src/wire/codec.h
+++ b/burdockhill/src/wire/codec.h
@@ -15,7 +15,7 @@
 
 // Decodes a payload from an untrusted source and appends its messages to
 // `messages`. Returns false and leaves `messages` unchanged if any part of the
-// payload is malformed.
+// payload is malformed. Messages of types that are not known are left out.
 bool DecodeMessages(std::string_view payload, std::vector<Message>* messages);
 
 }  // namespace burdockhill::wire
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -6,6 +6,8 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include "generated/peer_generated.h"
+
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 using wire::DecodeMessages;
 using wire::EncodeMessages;
@@ -18,6 +20,7 @@
   hello.vm = VmName(vm);
   hello.incarnation = Incarnation(incarnation);
   hello.nonce = std::string(32, static_cast<char>(incarnation));
+  hello.keeps_origins = true;
   return hello;
 }
 
@@ -48,6 +51,10 @@
       RateLimitNotice{UpstreamName("u"), 5.7, Duration(4)},
       PermitRequest{8, Duration(3), {UpstreamName("u"), {}, Duration(4)}},
       PermitAnswer{8, true, Duration(3), 6},
+      StreamOrigin{ServiceName("s"), RequestId(4), SoftwareVersion("1.0"),
+                   Duration(5)},
+      StreamOriginQuery{8, ServiceName("s"), RequestId(4)},
+      StreamOriginAnswer{8, SoftwareVersion("1.0")},
       StartPrefill{kAttempt, ServiceName("s"), RequestClass::kInteractive,
                    Tokens(10), "text", "{}", Duration(5)},
       StartDecode{kAttempt, "handle", "source", Tokens(1), Tokens(2), 3, "{}"},
@@ -123,6 +130,64 @@
   CHECK(passed);
 }
 
+TEST(Codec, KeepsTheFieldsOfStreamOrigins) {
+  std::vector<Message> decoded;
+  CHECK(DecodeMessages(
+      EncodeMessages(std::vector<Message>{
+          StreamOrigin{ServiceName("s"), RequestId(4), SoftwareVersion("1.0"),
+                       Duration(5)},
+          StreamOriginQuery{8, ServiceName("t"), RequestId(6)},
+          StreamOriginAnswer{9, SoftwareVersion("2.0")},
+          StreamOriginAnswer{10, SoftwareVersion()}, MakeHello("vm", 1)}),
+      &decoded));
+  const auto& origin = std::get<StreamOrigin>(decoded.at(0));
+  CHECK(origin.service == ServiceName("s"));
+  CHECK(origin.stream == RequestId(4));
+  CHECK(origin.version == SoftwareVersion("1.0"));
+  CHECK(origin.keep == Duration(5));
+  const auto& query = std::get<StreamOriginQuery>(decoded.at(1));
+  LONGS_EQUAL(8, query.id);
+  CHECK(query.service == ServiceName("t"));
+  CHECK(query.stream == RequestId(6));
+  LONGS_EQUAL(9, std::get<StreamOriginAnswer>(decoded.at(2)).id);
+  CHECK(std::get<StreamOriginAnswer>(decoded.at(2)).version ==
+        SoftwareVersion("2.0"));
+  CHECK_FALSE(std::get<StreamOriginAnswer>(decoded.at(3)).version.IsValid());
+  CHECK(std::get<Hello>(decoded.at(4)).keeps_origins);
+}
+
+// Guards against a process that ends the connections of newer ones.
+TEST(Codec, LeavesOutMessagesOfUnknownTypes) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<wire::Envelope>> envelopes;
+  for (const auto type :
+       {static_cast<wire::Body>(200), wire::Body::Heartbeat,
+        static_cast<wire::Body>(static_cast<int>(wire::Body::MAX) + 1)}) {
+    const auto body = wire::CreateHeartbeat(builder, 7, true);
+    envelopes.push_back(wire::CreateEnvelope(builder, type, body.Union()));
+  }
+  builder.Finish(wire::CreateFrame(builder, builder.CreateVector(envelopes)));
+  std::vector<Message> decoded;
+  CHECK(
+      DecodeMessages({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                      builder.GetSize()},
+                     &decoded));
+  LONGS_EQUAL(1, decoded.size());
+  LONGS_EQUAL(7, std::get<Heartbeat>(decoded.front()).sequence);
+}
+
+TEST(Codec, RejectsAnEnvelopeWithoutAMessage) {
+  flatbuffers::FlatBufferBuilder builder;
+  const std::vector<flatbuffers::Offset<wire::Envelope>> envelopes = {
+      wire::CreateEnvelope(builder)};
+  builder.Finish(wire::CreateFrame(builder, builder.CreateVector(envelopes)));
+  std::vector<Message> decoded;
+  CHECK_FALSE(
+      DecodeMessages({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                      builder.GetSize()},
+                     &decoded));
+}
+
 TEST_GROUP(Session){};
 
 TEST(Session, CarriesMessagesBothWays) {
