Agents keep which version began a stream, entries ask them

Cause: entries may all end at once and have no disk; agents beside the engines outlive them. A row a stream in the store would be thousands of writes a second.

EngineAgent stores and answers, and logs a count each minute if it has changed. Only agents whose Hello tells that they keep origins get the messages. PeerEventDispatcher takes several handlers for agents. The entry constructs and ticks it; nothing asks it yet.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -53,6 +53,13 @@
   return options;
 }
 
+PeerTransport::Options GatewayPeerOptions(const GatewaySettings& settings,
+                                          Incarnation incarnation) {
+  PeerTransport::Options options = PeerOptions(settings, incarnation);
+  options.self.keeps_origins = settings.role == Role::kAgent;
+  return options;
+}
+
 // Serves the same page for every request to one address.
 class PageServer : public http::ServerEvents {
  public:
@@ -92,7 +99,7 @@
         log(settings.vm.Value(), &clock),
         sockets(&loop),
         pool(&sockets, &clock),
-        peers(&loop, PeerOptions(settings, incarnation), &random) {
+        peers(&loop, GatewayPeerOptions(settings, incarnation), &random) {
     WatchStopSignals(&loop);
   }
 
@@ -149,6 +156,7 @@
                             &context.peers);
   UpstreamPermits permits({settings.vm, settings.seeds, settings.peer_port},
                           &board, &context.peers);
+  AgentStreamOrigins origins(&board, &context.peers);
   PlainRequests plain(&board, &permits);
   StreamCalls streams(&board, &reservations, &permits);
   reservations.SetEvents(&streams);
@@ -176,7 +184,8 @@
                   &board.routes, &board.upstreams, &board.poison_detector,
                   &board.prompt_parts, &context.peers, &context.clock,
                   &context.log, &configuration_updater, &upstream_updater);
-  PeerEventDispatcher peer_dispatcher(&reservations, {&relay, &permits});
+  PeerEventDispatcher peer_dispatcher({&reservations, &origins},
+                                      {&relay, &permits});
   context.peers.SetEvents(&peer_dispatcher);
   CachingConfigurationEvents caching_configurations(&configuration_updater,
                                                     &relay);
@@ -204,6 +213,7 @@
     board.connected_entries = relay.ConnectedEntries();
     reservations.Tick();
     permits.Tick();
+    origins.Tick();
     gateway.Tick();
     context.peers.Flush(now);
     context.CheckTimeouts(now);
--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -25,6 +25,8 @@
 // maximum time.
 constexpr int64_t kUrgentLoadChangeTokens = 2000;
 
+constexpr Duration kOriginsLogInterval = std::chrono::minutes(1);
+
 int64_t PerThousandSeconds(double per_second) {
   return static_cast<int64_t>(1000 * per_second);
 }
@@ -90,6 +92,18 @@
   BalanceRoles(now);
   SendDecisions(now);
   ReportLoad(now);
+  ExpireOrigins(now);
+}
+
+void EngineAgent::ExpireOrigins(TimePoint now) {
+  m_origins.Expire(now);
+  if (now < m_next_origins_log_at) return;
+  m_next_origins_log_at = now + kOriginsLogInterval;
+  if (m_origins.Size() == m_logged_origins) return;
+  m_logged_origins = m_origins.Size();
+  m_log->Write("stream_origins",
+               {{"kept", static_cast<int64_t>(m_origins.Size())},
+                {"evicted", static_cast<int64_t>(m_origins.EvictedCount())}});
 }
 
 void EngineAgent::ExpireCall(EngineCall* call, TimePoint now) {
@@ -328,6 +342,16 @@
     m_ledger.Release(cancel->attempt);
     m_prefill_admission.Release(cancel->attempt, now);
     m_local_prefill_admission.Release(cancel->attempt, now);
+  } else if (const auto* origin = std::get_if<StreamOrigin>(&message)) {
+    m_origins.Record({origin->service, origin->stream}, origin->version,
+                     origin->keep, now);
+    return;
+  } else if (const auto* query = std::get_if<StreamOriginQuery>(&message)) {
+    const auto known = m_origins.Find({query->service, query->stream}, now);
+    m_peers->Send(from, StreamOriginAnswer{query->id, known.has_value()
+                                                          ? known->version
+                                                          : SoftwareVersion()});
+    return;
   } else if (const auto* rates = std::get_if<PoolRates>(&message)) {
     m_pool_rates[from] = *rates;
     m_balance.SetRates(MedianPoolRates());
--- a/burdockhill/src/gateway/engine_agent.h
+++ b/burdockhill/src/gateway/engine_agent.h
@@ -15,6 +15,7 @@
 #include "burdockhill/src/routing/pool_balance.h"
 #include "burdockhill/src/routing/reservation_queue.h"
 #include "burdockhill/src/routing/service_rate.h"
+#include "burdockhill/src/routing/stream_origin_memory.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
 namespace burdockhill {
@@ -23,6 +24,9 @@
 // engine's KV cache memory and prefill capacity, and it alone orders changes of
 // the engine's role. Requests do not pass through it: entries reserve capacity
 // here and then call the engine directly.
+//
+// It also remembers for the entries, which may end, which versions of upstreams
+// began streams, its own engine's and others'.
 class EngineAgent : public PeerEvents {
  public:
   struct Options {
@@ -66,6 +70,7 @@
   void ApplyReport(const EngineReport& report, TimePoint now);
   void BalanceRoles(TimePoint now);
   void SendDecisions(TimePoint now);
+  void ExpireOrigins(TimePoint now);
   void SendQueueDecisions(ReservationQueue* queue, EngineAdmission* admission,
                           TimePoint now);
   // The capacity for computing prompts in the engine's present role, or nullptr
@@ -115,6 +120,9 @@
   std::set<VmName> m_entries;                // Connected ones.
   std::map<VmName, PoolRates> m_pool_rates;  // By the entry that told them.
   OutputRateEstimator m_output_rate;
+  StreamOriginMemory m_origins;
+  TimePoint m_next_origins_log_at{};
+  size_t m_logged_origins = 0;
 };
 
 }  // namespace burdockhill
--- a/burdockhill/src/gateway/peer_relay.h
+++ b/burdockhill/src/gateway/peer_relay.h
@@ -151,11 +151,12 @@
   const ObjectCodec* m_codec;
 };
 
-// Dispatches events of peers to one handler for agents and several for entries.
+// Dispatches events of peers to the handlers for agents and those for entries.
 class PeerEventDispatcher : public PeerEvents {
  public:
-  PeerEventDispatcher(PeerEvents* agents, std::vector<PeerEvents*> entries)
-      : m_agent_events({agents}), m_entry_events(std::move(entries)) {}
+  PeerEventDispatcher(std::vector<PeerEvents*> agents,
+                      std::vector<PeerEvents*> entries)
+      : m_agent_events(std::move(agents)), m_entry_events(std::move(entries)) {}
   void OnPeerUp(const Hello& peer) override {
     if (peer.role == Role::kEntry) m_entry_vms.insert(peer.vm);
     for (PeerEvents* handler : HandlersFor(peer.vm)) handler->OnPeerUp(peer);
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -73,6 +73,7 @@
         board(MakeBoard(&deployment->m_clock)),
         reservations({Incarnation(static_cast<uint64_t>(index) + 1), kPeerPort},
                      &board, &link),
+        origins(&board, &link),
         permits({EntryVm(index), SeedHosts(deployment->m_options), kPeerPort},
                 &board, &link),
         relay({EntryVm(index), SeedHosts(deployment->m_options), kPeerPort, ""},
@@ -114,6 +115,7 @@
     board.connected_entries = relay.ConnectedEntries();
     reservations.Tick();
     permits.Tick();
+    origins.Tick();
     gateway.Tick();
     pool.CheckTimeouts(now);
     server.CheckTimeouts(now);
@@ -134,9 +136,10 @@
   http::ConnectionPool pool;
   EntryBoard board;
   Reservations reservations;
+  AgentStreamOrigins origins;
   UpstreamPermits permits;
   PeerRelay relay;
-  PeerEventDispatcher dispatcher{&reservations, {&relay, &permits}};
+  PeerEventDispatcher dispatcher{{&reservations, &origins}, {&relay, &permits}};
   PlainRequests plain{&board, &permits};
   StreamCalls streams{&board, &reservations, &permits};
   Gateway gateway{&board, &plain, &streams};
@@ -158,6 +161,7 @@
     Hello hello;
     hello.vm = VmName(host);
     hello.role = Role::kAgent;
+    hello.keeps_origins = true;
     return hello;
   }
 
@@ -312,6 +316,10 @@
   m_entries.at(static_cast<size_t>(index)) = std::move(entry);
 }
 
+AgentStreamOrigins& GatewayDeployment::Origins(int entry) {
+  return m_entries.at(static_cast<size_t>(entry))->origins;
+}
+
 void GatewayDeployment::AddEntry() {
   m_entries.emplace_back();
   StartEntry(EntryCount() - 1);
@@ -361,6 +369,7 @@
   Hello other;
   other.vm = to;
   other.role = to.Value().starts_with("10.0.1.") ? Role::kAgent : Role::kEntry;
+  other.keeps_origins = other.role == Role::kAgent;
   peer->second->OnPeerUp(from);
   own->second->OnPeerUp(other);
 }
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -132,6 +132,7 @@
   RequestRate& RunnerRate(int index) { return m_runners.at(index)->Rate(); }
   // Messages between entries that ask for a permit.
   int64_t PermitRequestCount() const { return m_permit_requests; }
+  AgentStreamOrigins& Origins(int entry);
   Random& Randomness() { return m_random; }
   int EntryCount() const { return static_cast<int>(m_entries.size()); }
 
