Upstreams of the tests state a version

The engines that routing_test, gateway_test and the emulated deployment register had no version, although the platform requires the field. Decisions by version would take each of them for an engine that fits no other. Nothing decides by it yet.

--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -273,6 +273,7 @@
     upstream.service = ServiceName(kService);
     upstream.address = runner.address;
     upstream.zone = ZoneName("z");
+    upstream.version = SoftwareVersion("1");
     upstream.role = runner.role;
     upstream.slots = kSlots;
     upstream.revision = 1;
--- a/tests/routing_test_support.h
+++ b/tests/routing_test_support.h
@@ -28,6 +28,7 @@
 
 inline RegisteredUpstream MakeEngine(const std::string& name, EngineRole role) {
   RegisteredUpstream upstream = MakeUpstream(name);
+  upstream.version = SoftwareVersion("1");
   upstream.role = role;
   return upstream;
 }
