The pools are planned for each version by itself

Cause: the plan counted all engines of a service. It could make all prefill engines one version and all decode engines another, and leave a version without a decode engine, where its streams cannot go on. In a simulated release of nine engines, one each 20 s, with the prefill engines first, the new version had no decode engine for 60 s, and one engine got six orders.

Change: PoolBalance counts the engines of the engine's own version. A version with one engine decodes, and so does an engine of unknown version, since no engine may use its KV caches. While a service has several versions, a change to decode waits until the plan has been steady for 10 s and one to prefill for 30 s; a version without a decode engine gets one after 3 s as before.

--- a/burdockhill/src/routing/pool_balance.cc
+++ b/burdockhill/src/routing/pool_balance.cc
@@ -11,6 +11,12 @@
 // This engine's plan, and the number of engines, have to stay the same for this
 // long before the plan is acted on.
 constexpr Duration kSettleTime = std::chrono::milliseconds(3000);
+// The same while the service has several versions: in a release the numbers of
+// engines change again soon. A version that lacks prefill engines can wait
+// longer, because decode engines compute prompts too, but streams that go on
+// need decode engines of their version.
+constexpr Duration kReleaseSettleTimeToDecode = std::chrono::seconds(10);
+constexpr Duration kReleaseSettleTimeToPrefill = std::chrono::seconds(30);
 // Prefill engines that are kept free for bursts, as a multiple of the square
 // root of their number: prompts wait for each other, and the fewer engines
 // there are, the longer they wait at the same load.
@@ -59,14 +65,19 @@
   // Engines are ordered by name, which is the same for all agents: surplus
   // prefill engines change from the last name on, surplus decode engines from
   // the first.
-  int engine_count = 0;
+  Plan plan;
   int prefill = 0;
   int prefill_after_self = 0;
   int decode_before_self = 0;
   for (const RegisteredUpstream* upstream :
        directory.FindByService(own->service)) {
     if (upstream->leaving || !upstream->role.has_value()) continue;
-    ++engine_count;
+    if (upstream->name != self &&
+        !AreSameVersion(upstream->version, own->version)) {
+      plan.has_other_versions = true;
+      continue;
+    }
+    ++plan.engine_count;
     const bool after = upstream->name > self;
     const bool before = upstream->name < self;
     if (*upstream->role == EngineRole::kPrefill) {
@@ -76,14 +87,21 @@
       ++decode_before_self;
     }
   }
-  const int surplus = prefill - TargetPrefillCount(engine_count, prefill);
+  const int surplus = prefill - TargetPrefillCount(plan.engine_count, prefill);
   if (*own->role == EngineRole::kPrefill && prefill_after_self < surplus) {
-    return {EngineRole::kDecode, engine_count};
-  }
-  if (*own->role == EngineRole::kDecode && decode_before_self < -surplus) {
-    return {EngineRole::kPrefill, engine_count};
+    plan.role = EngineRole::kDecode;
+    plan.is_urgent = prefill == plan.engine_count && prefill_after_self == 0;
+  } else if (*own->role == EngineRole::kDecode &&
+             decode_before_self < -surplus) {
+    plan.role = EngineRole::kPrefill;
   }
-  return {std::nullopt, engine_count};
+  return plan;
+}
+
+Duration PoolBalance::SettleTime(const Plan& plan) {
+  if (!plan.has_other_versions || plan.is_urgent) return kSettleTime;
+  return plan.role == EngineRole::kDecode ? kReleaseSettleTimeToDecode
+                                          : kReleaseSettleTimeToPrefill;
 }
 
 std::optional<EngineRole> PoolBalance::DecideRole(
@@ -94,7 +112,7 @@
     m_plan = plan;
     m_plan_changed_at = now;
   }
-  const bool settled = now - m_plan_changed_at >= kSettleTime;
+  const bool settled = now - m_plan_changed_at >= SettleTime(plan);
   return settled ? plan.role : std::nullopt;
 }
 
--- a/burdockhill/src/routing/pool_balance.h
+++ b/burdockhill/src/routing/pool_balance.h
@@ -13,6 +13,9 @@
 // sends role orders only to the engine on its own VM, so that an engine gets
 // orders from a single agent.
 //
+// Engines of different versions do not work on one request, so each version of
+// a service has pools of its own. An engine of unknown version works alone.
+//
 // The rates are those at full load. They change with the lengths of prompts and
 // outputs and not with the number of requests, so a burst, which is over before
 // an engine has changed its role, does not change the plan.
@@ -38,7 +41,9 @@
  private:
   struct Plan {
     std::optional<EngineRole> role;  // That this engine should change to.
-    int engine_count = 0;            // Counted in the plan.
+    bool is_urgent = false;          // The version has no decode engine.
+    int engine_count = 0;            // Of the version.
+    bool has_other_versions = false;
     bool operator==(const Plan&) const = default;
   };
 
@@ -48,6 +53,8 @@
                          int prefill_count);
   Plan MakePlan(const UpstreamDirectory& directory,
                 const UpstreamName& self) const;
+  // How long the plan has to stay the same before it is acted on.
+  static Duration SettleTime(const Plan& plan);
 
   PoolRates m_rates;
   Plan m_plan;
