A version of two engines keeps two decode engines for a while

Cause: if the decode engine of two crashes, the prefill engine becomes a decode engine after 3 s; when the other one was back as a decode engine, one of them was ordered to prefill after 3 s more. Each crash of the only decode engine repeated this.

Change: of a version of two, a change to prefill waits until the plan has been steady for 30 s, as during a release. Decode engines compute the prompts meanwhile, and a second crash leaves one that decodes. The agent test of orders registers three engines instead of two, because the first order to one of two now comes after its time limit; what it checks is the same.

--- a/burdockhill/src/routing/pool_balance.cc
+++ b/burdockhill/src/routing/pool_balance.cc
@@ -16,7 +16,10 @@
 // longer, because decode engines compute prompts too, but streams that go on
 // need decode engines of their version.
 constexpr Duration kReleaseSettleTimeToDecode = std::chrono::seconds(10);
-constexpr Duration kReleaseSettleTimeToPrefill = std::chrono::seconds(30);
+constexpr Duration kLongSettleTimeToPrefill = std::chrono::seconds(30);
+// If a version has this many engines and one of them is a prefill engine, a
+// crash of the other one leaves none that decodes.
+constexpr int kSmallEngineCount = 2;
 // Prefill engines that are kept free for bursts, as a multiple of the square
 // root of their number: prompts wait for each other, and the fewer engines
 // there are, the longer they wait at the same load.
@@ -99,9 +102,14 @@
 }
 
 Duration PoolBalance::SettleTime(const Plan& plan) {
-  if (!plan.has_other_versions || plan.is_urgent) return kSettleTime;
-  return plan.role == EngineRole::kDecode ? kReleaseSettleTimeToDecode
-                                          : kReleaseSettleTimeToPrefill;
+  if (plan.role == EngineRole::kDecode) {
+    return plan.has_other_versions && !plan.is_urgent
+               ? kReleaseSettleTimeToDecode
+               : kSettleTime;
+  }
+  return plan.has_other_versions || plan.engine_count <= kSmallEngineCount
+             ? kLongSettleTimeToPrefill
+             : kSettleTime;
 }
 
 std::optional<EngineRole> PoolBalance::DecideRole(
--- a/tests/gateway_test_peers.cc
+++ b/tests/gateway_test_peers.cc
@@ -368,9 +368,13 @@
 // Guards against a late copy of an engine's report that is taken for the answer
 // to an order, and the other way round.
 TEST(EngineAgent, OrdersDoNotShareTheConnectionOfReports) {
-  RegisteredUpstream other = MakeUpstream("f", "llm", "10.0.2.3:80");
-  other.role = EngineRole::kDecode;  // So that one of the two has to prefill.
-  m_directory.ApplyUpdate(other);
+  // One of the three has to prefill, the first by name.
+  for (const char* address : {"10.0.2.3:80", "10.0.2.4:80"}) {
+    RegisteredUpstream other = MakeUpstream(address, "llm", address);
+    other.name = UpstreamName(std::string("f-") + address);
+    other.role = EngineRole::kDecode;
+    m_directory.ApplyUpdate(other);
+  }
   const SocketId reports = m_sockets.OpenTo(kDecodeOne).front();
   SocketId order;
   for (int i = 0; i < 1000 && !order.IsValid(); ++i) {
--- a/tests/routing_test_releases.cc
+++ b/tests/routing_test_releases.cc
@@ -316,19 +316,25 @@
 }
 
 // The remaining engine decodes from the first crash on, and the other one
-// starts as a decode engine.
+// starts as a decode engine, so that later crashes leave one that decodes.
 TEST(EngineReleases, CrashesOfAVersionOfTwoCauseOneOrder) {
-  m_service.AddVms("ab", EngineRole::kPrefill, "1");
-  m_service.AddVms("cdef", EngineRole::kDecode, "1");
-  m_service.AddVms("y", EngineRole::kPrefill, "2");
-  m_service.AddVms("z", EngineRole::kDecode, "2");
-  m_service.RunFor(seconds(60));
-  LONGS_EQUAL(0, m_service.Orders());
-  for (int crash = 0; crash < 5; ++crash) {
-    m_service.End("z");
-    m_service.RunFor(seconds(6));
-    m_service.StartEngine("z", "2");
-    m_service.RunFor(seconds(14));
+  for (const bool has_other_version : {true, false}) {
+    SimulatedService service(m_rates);
+    if (has_other_version) {
+      service.AddVms("ab", EngineRole::kPrefill, "1");
+      service.AddVms("cdef", EngineRole::kDecode, "1");
+    }
+    service.AddVms("y", EngineRole::kPrefill, "2");
+    service.AddVms("z", EngineRole::kDecode, "2");
+    service.RunFor(seconds(60));
+    LONGS_EQUAL(0, service.Orders());
+    for (int crash = 0; crash < 5; ++crash) {
+      service.End("z");
+      service.RunFor(seconds(6));
+      service.StartEngine("z", "2");
+      service.RunFor(seconds(14));
+    }
+    LONGS_EQUAL(1, service.Orders());
+    CHECK(service.WithoutDecode("2") <= seconds(10));
   }
-  LONGS_EQUAL(1, m_service.Orders());
 }
