Streams go on only at the software version that began them

Cause: the version of a registration was decoded and used nowhere, and Resumes was decoded nowhere. Any decode engine and any plain upstream took up any stream; KV cache of one version was fed to engines of another.

Now: - A take-up first asks StreamOrigins which version began the stream that Resumes names. Unknown, or no upstream of the version that isn't leaving: refused at once with 503 and Retry-After, not run. Else only upstreams of that version are used, also for pauses and permits. Both controllers share this (take_up.h). - Within an answer, the engine whose response head is forwarded sets the version. If no other engine has it, or it is unknown, the stream ends at once, as one that cannot be resumed. - A prefill engine must have the version of the decode engine. If none has, the decode engine computes the prompt. Both are checked again when they are called, since their process may have been replaced since the reservation. - The version is recorded before the first event is forwarded, for as long as the caller may come back. A take-up renews the attempt that it names, which is the first one.

The daemon has a placeholder that knows no stream, to be replaced by the search at the agents. Until then it refuses all take-ups.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -2,7 +2,9 @@
 
 #include <fstream>
 #include <functional>
+#include <map>
 #include <sstream>
+#include <utility>
 
 #include "burdockhill/gateway.h"
 #include "burdockhill/src/daemon/event_log_writer.h"
@@ -129,6 +131,31 @@
   if (settings.has_value()) apply(*settings);
 }
 
+// PLACEHOLDER: knows no stream. To be replaced by the implementation of
+// StreamOrigins that asks agents; Deliver and this class go then.
+class NoStreamOrigins : public StreamOrigins {
+ public:
+  void Record(const StreamKey& /*stream*/, const SoftwareVersion& /*version*/,
+              Duration /*keep*/) override {}
+  OriginSearchId Find(const StreamKey& /*stream*/,
+                      OriginSearchEvents* events) override {
+    const OriginSearchId id(++m_last_id);
+    m_searches[id] = events;
+    return id;
+  }
+  void Cancel(OriginSearchId id) override { m_searches.erase(id); }
+  // Call once per iteration of the event loop.
+  void Deliver() {
+    for (const auto& [id, events] : std::exchange(m_searches, {})) {
+      events->OnOriginUnknown(id, Duration(0));
+    }
+  }
+
+ private:
+  std::map<OriginSearchId, OriginSearchEvents*> m_searches;
+  uint64_t m_last_id = 0;
+};
+
 int RunGatewayEntry(const GatewaySettings& settings, const std::string& path) {
   ProcessContext context(settings);
   const platform::PlatformRequestCodec request_codec;
@@ -149,8 +176,9 @@
                             &context.peers);
   UpstreamPermits permits({settings.vm, settings.seeds, settings.peer_port},
                           &board, &context.peers);
-  PlainRequests plain(&board, &permits);
-  StreamCalls streams(&board, &reservations, &permits);
+  NoStreamOrigins origins;
+  PlainRequests plain(&board, &permits, &origins);
+  StreamCalls streams(&board, &reservations, &permits, &origins);
   reservations.SetEvents(&streams);
   Gateway gateway(&board, &plain, &streams);
   http::Server server(&context.sockets, &context.clock, &gateway);
@@ -201,6 +229,7 @@
     configurations.Tick();
     registrations.Tick();
     relay.Tick();
+    origins.Deliver();
     board.connected_entries = relay.ConnectedEntries();
     reservations.Tick();
     permits.Tick();
--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -35,6 +35,9 @@
   std::vector<PromptPartName> shared_prompt_parts;
   // Id of the last event that the caller received from an interrupted stream.
   std::optional<int64_t> last_event_id;
+  // Id of the caller attempt that brought the first event of that stream;
+  // nullopt if it is not known.
+  std::optional<std::string> resumed_attempt;
 };
 
 // Output tokens to plan with: the caller's estimate, else half of the caller's
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -48,7 +48,31 @@
   m_board->retry_budget.CountRequest(routed.service, routed.arrived_at);
   Request& request = m_requests.FindOrInsert(id);
   request.routed = std::move(routed);
-  Place(&request);
+  if (!TakeUps::IsTakeUp(request.routed)) return Place(&request);
+  m_take_ups.Find(request.routed);
+}
+
+void PlainRequests::OnTakenUp(http::ExchangeId id,
+                              const SoftwareVersion& version) {
+  Request* request = m_requests.Find(id);
+  request->version = version;
+  Place(request);
+}
+
+void PlainRequests::OnNotTakenUp(http::ExchangeId id, Duration retry_after,
+                                 std::string_view reason) {
+  FailRequest(m_board, m_requests.Find(id)->routed, ErrorKind::kNoUpstream,
+              retry_after, reason);
+  FinishRequest(id);
+}
+
+std::vector<const RegisteredUpstream*> PlainRequests::FindUpstreams(
+    const Request& request) const {
+  auto upstreams = m_board->upstreams.FindByService(request.routed.service);
+  std::erase_if(upstreams, [&](const RegisteredUpstream* upstream) {
+    return !FitsVersion(*upstream, request.version);
+  });
+  return upstreams;
 }
 
 Duration PlainRequests::MaxPermitWait(const Request& request) const {
@@ -61,8 +85,7 @@
 
 bool PlainRequests::HasUnlimitedUpstream(const Request& request) const {
   const TimePoint now = m_board->clock->Now();
-  const auto upstreams =
-      m_board->upstreams.FindByService(request.routed.service);
+  const auto upstreams = FindUpstreams(request);
   return std::any_of(
       upstreams.begin(), upstreams.end(),
       [&](const RegisteredUpstream* upstream) {
@@ -93,8 +116,7 @@
 Duration PlainRequests::UsefulPause(const Request& request) const {
   if (request.has_failed_response) return Duration(0);
   std::vector<const RegisteredUpstream*> untried;
-  for (const RegisteredUpstream* upstream :
-       m_board->upstreams.FindByService(request.routed.service)) {
+  for (const RegisteredUpstream* upstream : FindUpstreams(request)) {
     if (!request.tried_upstreams.contains(upstream->name)) {
       untried.push_back(upstream);
     }
@@ -153,6 +175,7 @@
   const bool usable =
       upstream != nullptr && !upstream->leaving &&
       upstream->service == request->routed.service &&
+      FitsVersion(*upstream, request->version) &&
       !m_board->pauses.IsPaused(*upstream, m_board->clock->Now()) &&
       !m_board->upstreams.IsSuperseded(*upstream);
   if (usable) return StartPlacedCall(request, upstream);
@@ -181,7 +204,7 @@
                   request.tried_upstreams.end());
   excluded.insert(request.exhausted_upstreams.begin(),
                   request.exhausted_upstreams.end());
-  const auto upstreams = m_board->upstreams.FindByService(service);
+  const auto upstreams = FindUpstreams(request);
   for (const RegisteredUpstream* upstream : upstreams) {
     if (m_board->pauses.IsPaused(*upstream, now)) {
       excluded.insert(upstream->name);
@@ -200,6 +223,7 @@
   routed.last_upstream_started_at_ms = upstream->started_at_ms;
   request->tried_upstreams.insert(upstream->name);
   request->call_started_at = now;
+  request->called_version = upstream->version;
   request->call = m_board->connections->Start(
       upstream->address,
       m_board->codec->EncodeCall(routed.request, *upstream, call), this,
@@ -258,7 +282,12 @@
 bool PlainRequests::ForwardStream(Request* request, std::string_view bytes) {
   const http::ExchangeId exchange = request->routed.exchange;
   if (request->events.has_value()) {
-    m_board->server->WriteStream(exchange, request->events->Append(bytes));
+    const bool first = request->events->Count() == 0;
+    const std::string complete_events = request->events->Append(bytes);
+    if (first && request->events->Count() > 0) {
+      m_take_ups.RecordFirstEvent(request->routed, request->called_version);
+    }
+    m_board->server->WriteStream(exchange, complete_events);
     if (request->events->IsTooLong()) return false;
   } else {
     m_board->server->WriteStream(exchange, bytes);
@@ -358,16 +387,15 @@
                          : registered               ? ErrorKind::kOverloaded
                                                     : ErrorKind::kNoUpstream;
   const Duration retry_after =
-      kind == ErrorKind::kOverloaded ? RetryAfter(routed.service) : Duration(0);
+      kind == ErrorKind::kOverloaded ? RetryAfter(*request) : Duration(0);
   FailRequest(m_board, routed, kind, retry_after, reason);
   FinishRequest(routed.exchange);
 }
 
-Duration PlainRequests::RetryAfter(const ServiceName& service) {
-  return std::max(
-      m_permits->RetryAfter(service),
-      m_board->pauses.TimeUntilAvailable(
-          m_board->upstreams.FindByService(service), m_board->clock->Now()));
+Duration PlainRequests::RetryAfter(const Request& request) {
+  return std::max(m_permits->RetryAfter(request.routed.service),
+                  m_board->pauses.TimeUntilAvailable(FindUpstreams(request),
+                                                     m_board->clock->Now()));
 }
 
 void PlainRequests::RecordResponseTime(const RoutedRequest& routed) {
@@ -524,6 +552,7 @@
 }
 
 void PlainRequests::FinishRequest(http::ExchangeId id) {
+  m_take_ups.Cancel(id);
   if (const Request* request = m_requests.Find(id)) {
     m_permits->Cancel(request->permit);
     m_exchanges_by_permit.Erase(request->permit);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -8,6 +8,8 @@
 
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
+#include "burdockhill/src/gateway/stream_origins.h"
+#include "burdockhill/src/gateway/take_up.h"
 #include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 
@@ -16,11 +18,17 @@
 // Forwards requests to upstreams of plain services: chooses an upstream,
 // retries where that is safe, and returns complete responses only. Streams are
 // forwarded as they arrive; if the upstream's response breaks off, the
-// connection to the caller is aborted.
-class PlainRequests : private http::CallEvents, private PermitEvents {
+// connection to the caller is aborted. A stream that a caller takes up again
+// goes on at the software version that began it.
+class PlainRequests : private http::CallEvents,
+                      private PermitEvents,
+                      private TakeUpEvents {
  public:
-  PlainRequests(EntryBoard* board, UpstreamPermits* permits)
-      : m_board(board), m_permits(permits) {}
+  PlainRequests(EntryBoard* board, UpstreamPermits* permits,
+                StreamOrigins* origins)
+      : m_board(board),
+        m_permits(permits),
+        m_take_ups(board, origins, /*role=*/std::nullopt, this) {}
 
   // Takes over a request and sends it to an upstream.
   void Begin(RoutedRequest routed);
@@ -37,6 +45,10 @@
     RoutedRequest routed;
     http::CallId call;
     TimePoint call_started_at{};
+    SoftwareVersion called_version;  // Of the upstream of the latest call.
+    // Of the upstream that began the stream which the caller takes up; nullopt
+    // for other requests.
+    std::optional<SoftwareVersion> version;
     std::set<UpstreamName> tried_upstreams;
     PermitId permit;             // Valid while a permit is awaited.
     UpstreamName next_upstream;  // To be called with that permit.
@@ -73,8 +85,15 @@
   void OnPermit(PermitId id) override;
   void OnNoPermit(PermitId id) override;
 
+  void OnTakenUp(http::ExchangeId id, const SoftwareVersion& version) override;
+  void OnNotTakenUp(http::ExchangeId id, Duration retry_after,
+                    std::string_view reason) override;
+
   Request* FindRequest(http::CallId id);
   Request* TakePermitRequest(PermitId id);
+  // Upstreams that fit the request, see FitsVersion.
+  std::vector<const RegisteredUpstream*> FindUpstreams(
+      const Request& request) const;
   // The best upstream that has not been tried and is below its limit of calls,
   // or nullptr.
   const RegisteredUpstream* ChooseUpstream(const Request& request) const;
@@ -85,7 +104,7 @@
   // them want no requests now. Zero if that is not in time for the request.
   Duration UsefulPause(const Request& request) const;
   // When a caller should come back that is refused; zero if that is not known.
-  Duration RetryAfter(const ServiceName& service);
+  Duration RetryAfter(const Request& request);
   void StartPlacedCall(Request* request, const RegisteredUpstream* upstream);
   // No upstream can be called.
   void EndUnplaced(Request* request);
@@ -123,6 +142,7 @@
 
   EntryBoard* m_board;
   UpstreamPermits* m_permits;
+  TakeUps m_take_ups;
   Table<http::ExchangeId, Request> m_requests;
   Table<PermitId, http::ExchangeId> m_exchanges_by_permit;
   Table<http::CallId, http::ExchangeId> m_exchanges_by_call;
--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -110,6 +110,7 @@
   for (const RegisteredUpstream* upstream :
        m_board->upstreams.FindByService(active.requirement.service)) {
     if (upstream->leaving || upstream->role != active.requirement.role ||
+        !FitsVersion(*upstream, active.requirement.version) ||
         m_board->pauses.IsPaused(*upstream, now) ||
         active.requirement.excluded_engines.contains(upstream->name) ||
         active.asked.contains(upstream->name)) {
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -61,6 +61,8 @@
     Duration target_left{0};        // Later grants miss the latency target.
     uint8_t priority = 0;           // 0 is the most urgent.
     ZoneName preferred_zone;        // Engines in this zone are preferred.
+    // Only engines of this version are used, see FitsVersion.
+    std::optional<SoftwareVersion> version;
     // Prefill only: the decode engine that may compute the prompt itself. It is
     // asked after `local_delay`, or at once if no prefill engine can be asked.
     UpstreamName local_engine;
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -34,7 +34,24 @@
   stream.routed = std::move(routed);
   stream.last_event_at = stream.routed.arrived_at;
   stream.caller_waiting_since = stream.routed.arrived_at;
-  ReserveDecodeEngine(&stream);
+  if (!TakeUps::IsTakeUp(stream.routed)) return ReserveDecodeEngine(&stream);
+  stream.phase = Phase::kFindingOrigin;
+  m_take_ups.Find(stream.routed);
+}
+
+void StreamCalls::OnTakenUp(http::ExchangeId id,
+                            const SoftwareVersion& version) {
+  Stream* stream = m_streams.Find(id);
+  stream->version = version;
+  ReserveDecodeEngine(stream);
+}
+
+void StreamCalls::OnNotTakenUp(http::ExchangeId id, Duration retry_after,
+                               std::string_view reason) {
+  Stream* stream = m_streams.Find(id);
+  FailRequest(m_board, stream->routed, ErrorKind::kNoUpstream, retry_after,
+              reason);
+  FinishStream(stream);
 }
 
 StreamCalls::Stream* StreamCalls::FindStream(http::CallId id) {
@@ -173,7 +190,7 @@
   if (retry_after == Duration(0)) {
     retry_after = m_permits->RetryAfter(stream->routed.service);
   }
-  retry_after = std::max(retry_after, DecodePause(stream->routed.service, {}));
+  retry_after = std::max(retry_after, DecodePause(*stream, {}));
   // Jitter, so that callers that were refused together do not retry together.
   if (retry_after > Duration(0)) {
     retry_after = std::max(retry_after, m_board->random->Jitter(retry_after));
@@ -240,6 +257,7 @@
 }
 
 void StreamCalls::FinishStream(Stream* stream) {
+  m_take_ups.Cancel(stream->routed.exchange);
   ReleaseAttempt(stream);
   m_streams.Erase(stream->routed.exchange);
 }
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -9,6 +9,8 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/reservations.h"
+#include "burdockhill/src/gateway/stream_origins.h"
+#include "burdockhill/src/gateway/take_up.h"
 #include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/routing/stream_budget.h"
@@ -20,16 +22,23 @@
 // engine, then has its prompt computed by a prefill engine, then decodes, and
 // events are forwarded to the caller as they arrive. If a resumable stream
 // breaks off, it continues on another engine after the last event that was
-// forwarded.
+// forwarded. It then stays at engines of the software version that began it, as
+// does a stream that a caller takes up again. KV cache is passed only between
+// engines of one version.
 class StreamCalls : public ReservationEvents,
                     private http::CallEvents,
-                    private PermitEvents {
+                    private PermitEvents,
+                    private TakeUpEvents {
  public:
   StreamCalls(EntryBoard* board, Reservations* reservations,
-              UpstreamPermits* permits)
-      : m_board(board), m_reservations(reservations), m_permits(permits) {}
+              UpstreamPermits* permits, StreamOrigins* origins)
+      : m_board(board),
+        m_reservations(reservations),
+        m_permits(permits),
+        m_take_ups(board, origins, EngineRole::kDecode, this) {}
 
-  // Takes over a request and reserves memory for it.
+  // Takes over a request and reserves memory for it, once it is known which
+  // engines may serve it.
   void Begin(RoutedRequest routed);
   // Returns false if the exchange belongs to another controller.
   bool OnCallerDisconnected(http::ExchangeId id);
@@ -46,6 +55,7 @@
 
  private:
   enum class Phase {
+    kFindingOrigin,     // Of a stream that the caller takes up.
     kAwaitingPauseEnd,  // All decode engines want no requests now.
     kReservingDecode,
     kAwaitingDecodePermit,  // For the engine that was just reserved.
@@ -71,6 +81,9 @@
     bool has_decode_permit = false;
     http::CallId call;
     TimePoint call_started_at{};
+    SoftwareVersion called_version;  // Of the engine of the latest call.
+    // Of the engine that began the stream; nullopt before one has.
+    std::optional<SoftwareVersion> version;
     std::set<UpstreamName> excluded_decode_engines;
     std::set<UpstreamName> excluded_prefill_engines;
     std::optional<KvLocation> kv_in_call;  // Passed in the current decode call.
@@ -104,24 +117,42 @@
   void OnPermit(PermitId id) override;
   void OnNoPermit(PermitId id) override;
 
+  void OnTakenUp(http::ExchangeId id, const SoftwareVersion& version) override;
+  void OnNotTakenUp(http::ExchangeId id, Duration retry_after,
+                    std::string_view reason) override;
+
   Stream* FindStream(http::CallId id);
   Stream* TakePermitStream(PermitId id);
   // Waits in this phase for a permit to call the engine, for as long as the
   // stage allows. Returns false if the engine needs none.
   bool AwaitPermit(Stream* stream, const UpstreamName& engine, Phase phase,
                    StreamStage stage);
-  // Whether another engine of the role of this one has no rate limit.
-  bool HasUnlimitedEngine(const UpstreamName& engine,
+  // Whether another engine of the role of this one that fits the stream has no
+  // rate limit.
+  bool HasUnlimitedEngine(const Stream& stream, const UpstreamName& engine,
                           const std::set<UpstreamName>& excluded) const;
+  // The version that engines of this role must have for the stream, see
+  // FitsVersion. A prefill engine must have that of the decode engine.
+  std::optional<SoftwareVersion> RequiredVersion(const Stream& stream,
+                                                 EngineRole role) const;
+  // Whether an engine of this role that fits the stream is in service.
+  bool HasEngine(const Stream& stream, EngineRole role,
+                 const std::set<UpstreamName>& excluded) const;
+  // Whether an engine that is not excluded may go on with the stream.
+  bool MayMoveOn(const Stream& stream) const {
+    return !stream.version.has_value() ||
+           HasEngine(stream, EngineRole::kDecode,
+                     stream.excluded_decode_engines);
+  }
   // Takes this many retries from the retry budget; false if it has fewer.
   bool PayForRetries(Stream* stream, int retries);
   // Ends the stream because the retry budget does not allow a further call.
   void FailUnpaid(Stream* stream);
   StageBudget BudgetFor(const Stream& stream, StreamStage stage) const;
   void ReserveDecodeEngine(Stream* stream);
-  // Time until a decode engine that is not excluded may be called; zero if one
-  // may be called now.
-  Duration DecodePause(const ServiceName& service,
+  // Time until a decode engine that fits the stream and is not excluded may be
+  // called; zero if one may be called now.
+  Duration DecodePause(const Stream& stream,
                        const std::set<UpstreamName>& excluded) const;
   // Waits until the engines may be called, or refuses the stream if that is not
   // in time for it.
@@ -181,6 +212,7 @@
   EntryBoard* m_board;
   Reservations* m_reservations;
   UpstreamPermits* m_permits;
+  TakeUps m_take_ups;
   Table<http::ExchangeId, Stream> m_streams;
   Table<PermitId, http::ExchangeId> m_exchanges_by_permit;
   Table<http::CallId, http::ExchangeId> m_exchanges_by_call;
--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -22,10 +22,12 @@
 
 void StreamCalls::ReserveDecodeEngine(Stream* stream) {
   const RoutedRequest& routed = stream->routed;
+  if (!MayMoveOn(*stream)) {
+    return FailOverloaded(stream, Duration(0), kNoUpstreamOfVersion);
+  }
   const StageBudget budget =
       BudgetFor(*stream, StreamStage::kDecodeReservation);
-  const Duration pause =
-      DecodePause(routed.service, stream->excluded_decode_engines);
+  const Duration pause = DecodePause(*stream, stream->excluded_decode_engines);
   if (pause > Duration(0)) return AwaitPauseEnd(stream, pause, budget.max_wait);
   stream->phase = Phase::kReservingDecode;
   stream->decode_attempt = m_reservations->NewAttempt(routed.request.id);
@@ -40,15 +42,37 @@
   requirement.excluded_engines = stream->excluded_decode_engines;
   requirement.excluded_engines.merge(m_permits->Exhausted(routed.service));
   requirement.preferred_zone = m_board->zone;
+  requirement.version = RequiredVersion(*stream, EngineRole::kDecode);
   m_reservations->Reserve(stream->decode_attempt, requirement);
 }
 
+std::optional<SoftwareVersion> StreamCalls::RequiredVersion(
+    const Stream& stream, EngineRole role) const {
+  if (role == EngineRole::kDecode) return stream.version;
+  const RegisteredUpstream* decode =
+      m_board->upstreams.Find(stream.decode_engine);
+  return decode == nullptr ? SoftwareVersion() : decode->version;
+}
+
+bool StreamCalls::HasEngine(const Stream& stream, EngineRole role,
+                            const std::set<UpstreamName>& excluded) const {
+  const std::optional<SoftwareVersion> version = RequiredVersion(stream, role);
+  const auto engines = m_board->upstreams.FindByService(stream.routed.service);
+  return std::any_of(engines.begin(), engines.end(),
+                     [&](const RegisteredUpstream* engine) {
+                       return engine->role == role && !engine->leaving &&
+                              FitsVersion(*engine, version) &&
+                              !excluded.contains(engine->name);
+                     });
+}
+
 Duration StreamCalls::DecodePause(
-    const ServiceName& service, const std::set<UpstreamName>& excluded) const {
+    const Stream& stream, const std::set<UpstreamName>& excluded) const {
   std::vector<const RegisteredUpstream*> engines;
   for (const RegisteredUpstream* engine :
-       m_board->upstreams.FindByService(service)) {
+       m_board->upstreams.FindByService(stream.routed.service)) {
     if (engine->role == EngineRole::kDecode &&
+        FitsVersion(*engine, stream.version) &&
         !excluded.contains(engine->name)) {
       engines.push_back(engine);
     }
@@ -124,13 +148,17 @@
 }
 
 bool StreamCalls::HasUnlimitedEngine(
-    const UpstreamName& engine, const std::set<UpstreamName>& excluded) const {
+    const Stream& stream, const UpstreamName& engine,
+    const std::set<UpstreamName>& excluded) const {
   const RegisteredUpstream* wanted = m_board->upstreams.Find(engine);
-  if (wanted == nullptr) return false;
+  if (wanted == nullptr || !wanted->role.has_value()) return false;
+  const std::optional<SoftwareVersion> version =
+      RequiredVersion(stream, *wanted->role);
   const auto engines = m_board->upstreams.FindByService(wanted->service);
   return std::any_of(
       engines.begin(), engines.end(), [&](const RegisteredUpstream* other) {
         return other->role == wanted->role && !other->leaving &&
+               FitsVersion(*other, version) &&
                !m_board->pauses.IsPaused(*other, m_board->clock->Now()) &&
                !m_permits->IsNeeded(other->name) &&
                !excluded.contains(other->name);
@@ -141,10 +169,10 @@
                               Phase phase, StreamStage stage) {
   if (!m_permits->IsNeeded(engine)) return false;
   stream->phase = phase;
-  const bool has_other =
-      HasUnlimitedEngine(engine, phase == Phase::kAwaitingPrefillPermit
-                                     ? stream->excluded_prefill_engines
-                                     : stream->excluded_decode_engines);
+  const bool has_other = HasUnlimitedEngine(
+      *stream, engine,
+      phase == Phase::kAwaitingPrefillPermit ? stream->excluded_prefill_engines
+                                             : stream->excluded_decode_engines);
   const Duration max_wait =
       has_other ? Duration(0) : BudgetFor(*stream, stage).max_wait;
   stream->permit = m_permits->Request(engine, max_wait, this);
@@ -205,7 +233,9 @@
   requirement.priority = EnginePriority(routed.route);
   requirement.excluded_engines = stream->excluded_prefill_engines;
   requirement.excluded_engines.merge(m_permits->Exhausted(routed.service));
-  requirement.local_only = !allowed;
+  requirement.version = RequiredVersion(*stream, EngineRole::kPrefill);
+  requirement.local_only =
+      !allowed || !HasEngine(*stream, EngineRole::kPrefill, /*excluded=*/{});
   // The agent of a decode engine grants no prompt that has missed its target,
   // since prefill engines can compute it. Here the decode engine is the only
   // choice, so the prompt must not count as late.
@@ -237,6 +267,7 @@
 bool StreamCalls::StartCall(Stream* stream, const RegisteredUpstream& upstream,
                             const UpstreamCall& call) {
   stream->call_started_at = m_board->clock->Now();
+  stream->called_version = upstream.version;
   stream->response_head = http::Head();
   stream->response_body.clear();
   stream->is_forwarding = false;
@@ -262,10 +293,16 @@
 
 void StreamCalls::StartPrefill(Stream* stream) {
   if (RefuseIfBarred(stream)) return;
-  ++stream->prefill_calls;
-  stream->calls.BeginPrefill();
   const RegisteredUpstream* upstream =
       m_board->upstreams.Find(stream->prefill_engine);
+  // One of the two engines has restarted at another version meanwhile.
+  if (upstream != nullptr &&
+      !FitsVersion(*upstream, RequiredVersion(*stream, EngineRole::kPrefill))) {
+    ReleasePrefill(stream);
+    return ReservePrefillEngine(stream);
+  }
+  ++stream->prefill_calls;
+  stream->calls.BeginPrefill();
   if (!IsUsable(upstream)) {
     return OnPrefillFailed(stream, /*was_sent=*/false,
                            "engine is leaving or pauses");
@@ -289,6 +326,11 @@
   if (!IsUsable(upstream)) {
     return OnDecodeRejected(stream, "engine is leaving or pauses");
   }
+  // It may have restarted since it was reserved or the prompt was computed.
+  const bool fits = FitsVersion(*upstream, stream->version) &&
+                    (!stream->kv.has_value() ||
+                     AreSameVersion(upstream->version, stream->called_version));
+  if (!fits) return OnDecodeRejected(stream, "engine has another version");
   if (!PayForRetries(stream, stream->calls.DueBeforeDecode())) {
     return FailUnpaid(stream);
   }
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -44,6 +44,7 @@
 void StreamCalls::ForwardHead(Stream* stream, const http::Head& head) {
   stream->is_forwarding = true;
   stream->events.BeginResponse();
+  if (!stream->version.has_value()) stream->version = stream->called_version;
   if (std::exchange(stream->head_sent, true)) return;
   http::Head response = head;
   http::RemoveConnectionHeaders(&response.headers);
@@ -93,6 +94,7 @@
     // The prompt has been computed, also if the decode engine did it.
     ReleasePrefill(stream);
     stream->first_event_at = now;
+    m_take_ups.RecordFirstEvent(stream->routed, stream->called_version);
   } else {
     stream->longest_gap =
         std::max(stream->longest_gap, now - stream->last_event_at);
@@ -269,6 +271,7 @@
   const bool retry = routed.route.kind == RequestKind::kResumableStream &&
                      stream->decode_calls < kMaxDecodeCalls &&
                      now < routed.deadline && !IsBarred(m_board, routed) &&
+                     MayMoveOn(*stream) &&
                      PayForRetries(stream, stream->calls.DueBeforeDecode());
   if (!retry) return FailUnknown(stream, ErrorKind::kUpstreamFailed, reason);
   stream->caller_waiting_since = now;
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -32,6 +32,13 @@
   int64_t write_count = 0;
 };
 
+// Whether the upstream has that version. Without one, any upstream fits; none
+// fits the unknown version.
+inline bool FitsVersion(const RegisteredUpstream& upstream,
+                        const std::optional<SoftwareVersion>& version) {
+  return !version.has_value() || AreSameVersion(upstream.version, *version);
+}
+
 // The registered upstreams. A registration that ends during or shortly after an
 // outage of the registry is kept for a grace period, because upstreams register
 // again when the registry has recovered.
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <random>
 
+#include "emulation/stream_origins_fake.h"
+
 namespace burdockhill::emulation {
 
 namespace {
@@ -111,6 +113,7 @@
 
   void Tick(TimePoint now) {
     relay.Tick();
+    origins.Deliver();
     board.connected_entries = relay.ConnectedEntries();
     reservations.Tick();
     permits.Tick();
@@ -137,8 +140,9 @@
   UpstreamPermits permits;
   PeerRelay relay;
   PeerEventDispatcher dispatcher{&reservations, {&relay, &permits}};
-  PlainRequests plain{&board, &permits};
-  StreamCalls streams{&board, &reservations, &permits};
+  StreamOriginsFake origins;
+  PlainRequests plain{&board, &permits, &origins};
+  StreamCalls streams{&board, &reservations, &permits, &origins};
   Gateway gateway{&board, &plain, &streams};
   http::Server server;
 };
@@ -273,6 +277,7 @@
     upstream.service = ServiceName(kService);
     upstream.address = runner.address;
     upstream.zone = ZoneName("z");
+    upstream.version = SoftwareVersion("v1");
     upstream.role = runner.role;
     upstream.slots = kSlots;
     upstream.revision = 1;
@@ -291,6 +296,7 @@
     upstream.service = ServiceName(kPlainService);
     upstream.address = PlainAddress(i);
     upstream.zone = ZoneName("z");
+    upstream.version = SoftwareVersion("v1");
     upstream.revision = 1;
     upstreams.push_back(upstream);
   }
--- a/tests/gateway_test_entry.h
+++ b/tests/gateway_test_entry.h
@@ -14,6 +14,7 @@
 
 #include "burdockhill/gateway.h"
 #include "emulation/sockets_fake.h"
+#include "emulation/stream_origins_fake.h"
 #include "platform/platform.h"
 #include "tests/gateway_test_support.h"
 
@@ -60,7 +61,8 @@
         MakeRoute("/once/", RequestKind::kNonIdempotent, "plain"),
         MakeRoute("/stream/", RequestKind::kStream, "llm"),
         MakeRoute("/resume/", RequestKind::kResumableStream, "llm"),
-        MakeRoute("/feed/", RequestKind::kStream, "plain")};
+        MakeRoute("/feed/", RequestKind::kStream, "plain"),
+        MakeRoute("/replay/", RequestKind::kResumableStream, "plain")};
     Service llm;
     llm.name = ServiceName("llm");
     llm.engine = EngineLimits{64, Tokens(100000)};
@@ -105,6 +107,7 @@
 
   void Tick() {
     m_pool.CheckTimeouts(m_clock.Now());
+    m_origins.Deliver();
     m_reservations.Tick();
     m_permits.Tick();
     m_gateway.Tick();
@@ -234,8 +237,9 @@
       {Incarnation(9), kAgentPort}, &m_board, &m_peer_link};
   UpstreamPermits m_permits{
       {VmName("10.0.0.1"), {"10.0.0.1"}, kAgentPort}, &m_board, &m_peer_link};
-  PlainRequests m_plain{&m_board, &m_permits};
-  StreamCalls m_streams{&m_board, &m_reservations, &m_permits};
+  emulation::StreamOriginsFake m_origins;
+  PlainRequests m_plain{&m_board, &m_permits, &m_origins};
+  StreamCalls m_streams{&m_board, &m_reservations, &m_permits, &m_origins};
   Gateway m_gateway{&m_board, &m_plain, &m_streams};
   http::Server m_server{&m_sockets, &m_clock, &m_gateway};
 };
--- a/tests/gateway_test_support.h
+++ b/tests/gateway_test_support.h
@@ -55,6 +55,7 @@
   upstream.service = ServiceName(service);
   upstream.address = address;
   upstream.zone = ZoneName("z");
+  upstream.version = SoftwareVersion("v1");
   upstream.revision = 1;
   upstream.slots = 64;
   return upstream;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -88,6 +88,24 @@
   }
 }
 
+TEST(RequestCodec, DecodesWhichAttemptBeganAResumedStream) {
+  const std::pair<std::vector<std::string>, std::string> fields[] = {
+      {{}, ""},          {{""}, ""},           {{"a"}, "a"},
+      {{"a", "a"}, "a"}, {{"a", "b"}, ""},     {{"a", ""}, ""},
+      {{"", "a"}, ""},   {{"a", "b", "a"}, ""}};
+  for (const auto& [values, expected] : fields) {
+    http::Head head = StreamHead();
+    for (const std::string& value : values) head.headers.Add("resumes", value);
+    const auto request = m_codec.DecodeRequest(head, "");
+    STRCMP_EQUAL(expected.c_str(),
+                 request->resumed_attempt.value_or("").c_str());
+    CHECK(request->resumed_attempt.has_value() == !expected.empty());
+    if (expected.empty()) continue;
+    STRCMP_CONTAINS("resumes: a\r\n",
+                    m_codec.EncodeCall(*request, Engine(), {}).c_str());
+  }
+}
+
 TEST(RequestCodec, AnEndlessDeadlineIsNoNegativeOne) {
   http::Head head;
   head.target = "/";
