--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <functional>
 #include <sstream>
+#include <utility>
 
 #include "burdockhill/gateway.h"
 #include "burdockhill/src/daemon/event_log_writer.h"
@@ -157,8 +158,8 @@
   UpstreamPermits permits({settings.vm, settings.seeds, settings.peer_port},
                           &board, &context.peers);
   AgentStreamOrigins origins(&board, &context.peers);
-  PlainRequests plain(&board, &permits);
-  StreamCalls streams(&board, &reservations, &permits);
+  PlainRequests plain(&board, &permits, &origins);
+  StreamCalls streams(&board, &reservations, &permits, &origins);
   reservations.SetEvents(&streams);
   Gateway gateway(&board, &plain, &streams);
   http::Server server(&context.sockets, &context.clock, &gateway);
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -46,6 +46,7 @@
   ReplaceSilentCall(stream);
   stream->is_forwarding = true;
   stream->events.BeginResponse();
+  if (!stream->version.has_value()) stream->version = stream->called_version;
   if (std::exchange(stream->head_sent, true)) return;
   http::Head response = head;
   http::RemoveConnectionHeaders(&response.headers);
@@ -101,6 +102,7 @@
     // The prompt has been computed, also if the decode engine did it.
     ReleasePrefill(stream);
     stream->first_event_at = now;
+    m_take_ups.RecordFirstEvent(stream->routed, stream->called_version);
   } else {
     stream->longest_gap =
         std::max(stream->longest_gap, now - stream->last_event_at);
@@ -296,7 +298,7 @@
   return routed.route.kind == RequestKind::kResumableStream &&
          stream->decode_calls < kMaxDecodeCalls &&
          m_board->clock->Now() < routed.deadline &&
-         !IsBarred(m_board, routed) &&
+         !IsBarred(m_board, routed) && HasNextEngine(*stream) &&
          PayForRetries(stream, stream->calls.DueBeforeDecode());
 }
 
--- a/burdockhill/src/gateway/stream_silence.cc
+++ b/burdockhill/src/gateway/stream_silence.cc
@@ -48,6 +48,7 @@
   silent.decode_engine = stream->decode_engine;
   silent.prefill_engine = stream->prefill_engine;
   silent.engine_started_at_ms = stream->routed.last_upstream_started_at_ms;
+  silent.called_version = stream->called_version;
   silent.kv_in_call = std::move(stream->kv_in_call);
   silent.is_forwarding = stream->is_forwarding;
   silent.response_head = std::move(stream->response_head);
@@ -74,6 +75,7 @@
   stream->prefill_engine = silent.prefill_engine;
   stream->routed.last_upstream = silent.decode_engine;
   stream->routed.last_upstream_started_at_ms = silent.engine_started_at_ms;
+  stream->called_version = silent.called_version;
   stream->kv_in_call = std::move(silent.kv_in_call);
   stream->is_forwarding = silent.is_forwarding;
   stream->response_head = std::move(silent.response_head);
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -140,8 +140,8 @@
   UpstreamPermits permits;
   PeerRelay relay;
   PeerEventDispatcher dispatcher{{&reservations, &origins}, {&relay, &permits}};
-  PlainRequests plain{&board, &permits};
-  StreamCalls streams{&board, &reservations, &permits};
+  PlainRequests plain{&board, &permits, &origins};
+  StreamCalls streams{&board, &reservations, &permits, &origins};
   Gateway gateway{&board, &plain, &streams};
   http::Server server;
 };
@@ -277,7 +277,7 @@
     upstream.service = ServiceName(kService);
     upstream.address = runner.address;
     upstream.zone = ZoneName("z");
-    upstream.version = SoftwareVersion("1");
+    upstream.version = SoftwareVersion("v1");
     upstream.role = runner.role;
     upstream.slots = kSlots;
     upstream.revision = 1;
@@ -296,6 +296,7 @@
     upstream.service = ServiceName(kPlainService);
     upstream.address = PlainAddress(i);
     upstream.zone = ZoneName("z");
+    upstream.version = SoftwareVersion("v1");
     upstream.revision = 1;
     upstreams.push_back(upstream);
   }
