--- a/tests/gateway_test_software_versions.cc
+++ b/tests/gateway_test_software_versions.cc
@@ -164,15 +164,18 @@
   SetVersion("p2", "v2", /*leaving=*/true);
   // One that only computes prompts cannot go on with a stream.
   AddEngine("e4", "10.0.2.5", EngineRole::kPrefill, "v3");
+  const std::pair<std::string, std::string> paths[] = {{"/resume/x", "llm"},
+                                                       {"/replay/x", "plain"}};
   for (const std::string version : {"v2", "v3", "v4"}) {
-    Know("llm", "first", version);
-    CheckRefused(TakeUp("/resume/x"));
-    if (version == "v3") continue;
-    Know("plain", "first", version);
-    CheckRefused(TakeUp("/replay/x"));
+    for (const auto& [path, service] : paths) {
+      Know(service, "first", version);
+      m_log.last_text.clear();
+      CheckRefused(TakeUp(path));
+      STRCMP_EQUAL("no upstream of the stream's version",
+                   m_log.last_text["reason"].c_str());
+      STRCMP_EQUAL("no_upstream", m_log.last_text["kind"].c_str());
+    }
   }
-  STRCMP_EQUAL("no upstream of the stream's version",
-               m_log.last_text["reason"].c_str());
 }
 
 // A registration without a version fits no stream that is taken up.
@@ -238,6 +241,7 @@
     m_sockets.Fail(decode);
     CHECK(m_sockets.GetConnection(caller).was_reset);
     LONGS_EQUAL(0, Asked<ReserveDecode>().size());
+    LONGS_EQUAL(0, m_log.Count("stream_resumed"));
     CHECK(m_gateway.IsIdle());
     AdvanceTime(seconds(3));
   }
@@ -315,6 +319,10 @@
     CHECK(GrantLatest<ReserveDecode>());
     Tick();
     CHECK(Asked<ReservePrefill>() == std::set<std::string>({"10.0.2.2"}));
+    // The only choice, so the prompt does not count as late.
+    const auto& asked =
+        std::get<ReservePrefill>(m_peer_link.sent.back().second);
+    CHECK(asked.target_left == asked.wait_budget);
     LONGS_EQUAL(0, m_sockets.OpenTo(kPrefill).size());
     const SocketId decode = AwaitCall();
     STRCMP_EQUAL(kDecodeOne, AddressOf(decode).c_str());
@@ -355,6 +363,8 @@
   SetVersion("e1", "v2");
   STRCMP_EQUAL("none", AddressOf(AwaitCall()).c_str());
   STRCMP_CONTAINS("HTTP/1.1 503", m_sockets.DrainOutput(caller).c_str());
+  STRCMP_EQUAL("no upstream of the stream's version",
+               m_log.last_text["reason"].c_str());
   CHECK(m_gateway.IsIdle());
 }
 
