A take-up on a route that is split over services stays at its service

Callers of a resumable stream on a route with several services were refused, or went on at another service, as often as the new draw of the service differed from the first one: about half of them at an even split.

Cause: each request drew its service at random. Fix: for streams that may be taken up, the id of the attempt that brought the first event picks it; a new stream names itself, a take-up names the first attempt, so both pick the same.

ATakeUpOnASplitRouteStaysAtItsService failed with the random draw (a take-up got no call); routing_test SplitsByWeight draws the numbers itself now and expects the same shares.

--- a/burdockhill/src/base/random.h
+++ b/burdockhill/src/base/random.h
@@ -17,6 +17,9 @@
   // Returns a random non-zero number, for use as an id.
   uint64_t NextId() { return m_engine() | 1; }
 
+  // Returns a number of which all bits are random.
+  uint64_t NextNumber() { return m_engine(); }
+
   // Returns a number in [0, bound), uniform but for a modulo bias of at most
   // bound / 2^64. `bound` must be positive.
   uint64_t UniformBelow(uint64_t bound) { return m_engine() % bound; }
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "burdockhill/src/gateway/take_up.h"
+
 namespace burdockhill {
 
 void Gateway::OnRequest(http::ExchangeId id, http::Head head,
@@ -30,7 +32,13 @@
                        "no route");
   }
   routed.route = *route;
-  routed.service = RouteTable::PickService(*route, m_board->random);
+  // A stream that is taken up stays at its service. The lowest bit of the hash
+  // is always set.
+  const uint64_t draw =
+      route->kind == RequestKind::kResumableStream
+          ? HashRequestId(TakeUps::OriginOf(routed)).Value() / 2
+          : m_board->random->NextNumber();
+  routed.service = RouteTable::PickService(*route, draw);
   Duration limit = route->timeout;
   if (routed.request.caller_timeout.has_value()) {
     limit = std::min(limit, *routed.request.caller_timeout);
--- a/burdockhill/src/gateway/take_up.cc
+++ b/burdockhill/src/gateway/take_up.cc
@@ -9,11 +9,15 @@
          routed.request.last_event_id.value_or(0) > 0;
 }
 
+std::string TakeUps::OriginOf(const RoutedRequest& routed) {
+  return IsTakeUp(routed) ? routed.request.resumed_attempt.value_or("")
+                          : routed.request.id;
+}
+
 void TakeUps::Find(const RoutedRequest& routed) {
   const InboundRequest& request = routed.request;
   const Search search{routed.exchange, routed.service, request.id,
-                      request.resumed_attempt.value_or(""),
-                      request.last_event_id.value_or(0)};
+                      OriginOf(routed), request.last_event_id.value_or(0)};
   // Each attempt has its own id, so one that names itself names no other.
   if (!request.resumed_attempt.has_value() || search.attempt == request.id) {
     return RefuseUnknown(search, Duration(0));
@@ -88,13 +92,10 @@
   const InboundRequest& request = routed.request;
   if (routed.route.kind != RequestKind::kResumableStream) return;
   if (!version.IsValid()) return;
-  const std::string attempt = IsTakeUp(routed)
-                                  ? request.resumed_attempt.value_or(request.id)
-                                  : request.id;
   const Duration passed = m_board->clock->Now() - routed.arrived_at;
   const Duration keep =
       request.caller_timeout.value_or(routed.route.timeout) - passed;
-  m_origins->Record({routed.service, HashRequestId(attempt)}, version,
+  m_origins->Record({routed.service, HashRequestId(OriginOf(routed))}, version,
                     std::max(keep, Duration(0)));
 }
 
--- a/burdockhill/src/gateway/take_up.h
+++ b/burdockhill/src/gateway/take_up.h
@@ -38,6 +38,9 @@
       : m_board(board), m_origins(origins), m_role(role), m_events(events) {}
 
   static bool IsTakeUp(const RoutedRequest& routed);
+  // The id of the attempt that brought the first event of the stream, or will
+  // bring it. That of a take-up is empty if the caller does not name it.
+  static std::string OriginOf(const RoutedRequest& routed);
   // Finds out which version began the stream. Exactly one event follows, maybe
   // before this call has returned, unless the search is cancelled.
   void Find(const RoutedRequest& routed);
--- a/burdockhill/src/routing/route_table.cc
+++ b/burdockhill/src/routing/route_table.cc
@@ -44,16 +44,15 @@
              : &m_configuration.services[found->second];
 }
 
-const ServiceName& RouteTable::PickService(const Route& route, Random* random) {
+const ServiceName& RouteTable::PickService(const Route& route, uint64_t draw) {
   assert(!route.services.empty());
   int64_t total = 0;
   for (const WeightedService& choice : route.services) total += choice.weight;
   if (total <= 0) return route.services.front().service;
-  auto draw =
-      static_cast<int64_t>(random->UniformBelow(static_cast<uint64_t>(total)));
+  auto left = static_cast<int64_t>(draw % static_cast<uint64_t>(total));
   for (const WeightedService& choice : route.services) {
-    draw -= choice.weight;
-    if (draw < 0) return choice.service;
+    left -= choice.weight;
+    if (left < 0) return choice.service;
   }
   return route.services.back().service;
 }
--- a/burdockhill/src/routing/route_table.h
+++ b/burdockhill/src/routing/route_table.h
@@ -26,9 +26,10 @@
   // The service, or nullptr.
   const Service* FindService(const ServiceName& name) const;
 
-  // One of the route's services, drawn at random by weight. The route has to
-  // have at least one.
-  static const ServiceName& PickService(const Route& route, Random* random);
+  // One of the route's services, by weight. `draw` is uniformly distributed,
+  // and the same one picks the same service. The route has to have at least
+  // one.
+  static const ServiceName& PickService(const Route& route, uint64_t draw);
 
  private:
   RoutingConfiguration m_configuration;
--- a/tests/gateway_test_software_versions.cc
+++ b/tests/gateway_test_software_versions.cc
@@ -1,5 +1,6 @@
 // Module gateway: upstreams of several software versions in one service.
 
+#include <map>
 #include <set>
 
 #include "tests/gateway_test_entry.h"
@@ -573,3 +574,31 @@
   STRCMP_EQUAL("none", AddressOf(AwaitCall()).c_str());
   STRCMP_CONTAINS("HTTP/1.1 503", m_sockets.DrainOutput(caller).c_str());
 }
+
+TEST(SoftwareVersions, ATakeUpOnASplitRouteStaysAtItsService) {
+  RoutingConfiguration configuration = m_board.routes.Configuration();
+  configuration.generation = Generation(2);
+  Route split = MakeRoute("/split/", RequestKind::kResumableStream, "plain");
+  split.services.push_back({ServiceName("other"), 1});
+  configuration.routes.push_back(split);
+  m_board.routes.Apply(configuration);
+  m_board.upstreams.ApplyUpdate(MakeUpstream("o1", "other", kPlainThree));
+  std::map<std::string, int> streams_by_service;
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const SocketId caller = m_sockets.ConnectAsCaller(kCallers);
+    m_sockets.Inject(caller,
+                     "POST /split/x HTTP/1.1\r\nHost: h\r\n"
+                     "Content-Length: 0\r\nX-Request-Id: " +
+                         id + "\r\n\r\n");
+    const std::string service =
+        AddressOf(AwaitCall()) == kPlainThree ? "other" : "plain";
+    ++streams_by_service[service];
+    m_sockets.Fail(caller);
+    Know(service, id, "v1");
+    const SocketId again = TakeUp("/split/x", "Resumes: " + id + "\r\n");
+    CHECK(AwaitCall().IsValid());
+    m_sockets.Fail(again);
+  }
+  CHECK(streams_by_service["plain"] >= 8 && streams_by_service["other"] >= 8);
+}
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -55,7 +55,7 @@
   std::map<std::string, int> counts;
   constexpr int kDraws = 10000;
   for (int i = 0; i < kDraws; ++i) {
-    ++counts[RouteTable::PickService(route, &random).Value()];
+    ++counts[RouteTable::PickService(route, random.NextNumber()).Value()];
   }
   CHECK(counts["light"] > 800 && counts["light"] < 1200);
 }
