A planned stop answers every request before the process ends

Cause: the daemon's loop decided about the stop, untested. A process without requests ended while a request was still arriving; a stop time below the load balancer's 2.6 s ended before any request in progress was answered; unsent bytes and requests that came in the last 400 ms were cut though time was left; calls began, or were handed to upstreams with their full deadline, that could not end.

Fix: Shutdown decides without I/O what is taken and when the process ends, and Gateway applies it. All deadlines end at the answer deadline, so that waits, retries and the time handed on are bounded by it.

EntriesInShutdownRefuseRequestsThatWouldOutlastThem set a field of the board that no longer decides; it now begins a stop that leaves the same 3500 ms.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -20,11 +20,6 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(50);
-// The load balancer sends new callers elsewhere after two failed readiness
-// checks, which are a second apart.
-constexpr Duration kBalancerDrainTime = std::chrono::milliseconds(2600);
-// Requests still in flight this long before the stop time ends are aborted.
-constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 // Interval at which an agent polls the cached list of upstreams. It needs no
 // watch, since it uses the list only to find its own engine and to plan roles.
 constexpr Duration kAgentListInterval = std::chrono::milliseconds(1200);
@@ -192,8 +187,6 @@
   context.log.Write("started", {{"role", std::string("entry")},
                                 {"zone", settings.zone.Value()}});
 
-  TimePoint leaving_since{};
-  bool idle_connections_closed = false;
   for (;;) {
     context.loop.WakeAfter(kTickInterval);
     context.loop.RunOnce();
@@ -213,24 +206,9 @@
       board.retry_budget.SetLimits(reloaded.retry_limits);
     });
     if (!StopRequested()) continue;
-    if (!std::exchange(board.leaving, true)) {
-      leaving_since = now;
-      server.DisableKeepAlive();
-      context.log.Write("leaving",
-                        {{"open_requests",
-                          static_cast<int64_t>(server.OpenExchangeCount())}});
-    }
-    const Duration leaving_for = now - leaving_since;
-    if (leaving_for < kBalancerDrainTime) continue;
-    if (!std::exchange(idle_connections_closed, true)) {
-      board.shutdown_deadline =
-          leaving_since + settings.stop_time - kStopMargin;
-      server.CloseIdleConnections();
-    }
+    if (!gateway.IsLeaving()) gateway.Leave(settings.stop_time);
     const size_t unsent_bytes = context.sockets.TotalPendingBytes();
-    const bool idle = gateway.IsIdle() && unsent_bytes == 0 &&
-                      leaving_for > kBalancerDrainTime + kTickInterval;
-    if (!idle && leaving_for < settings.stop_time - kStopMargin) continue;
+    if (!gateway.HasStopped(unsent_bytes)) continue;
     context.log.Write(
         "stopped",
         {{"cut_off", static_cast<int64_t>(server.OpenExchangeCount())},
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -34,8 +34,7 @@
   UpstreamPauses pauses;
   MetricsRegistry metrics;
   bool leaving = false;  // A graceful shutdown has begun.
-  // Requests whose deadline is later are refused. Zero until the load balancer
-  // has had time after the stop signal to send callers to other entries.
+  // Every request in progress is answered by then. Zero unless leaving.
   TimePoint shutdown_deadline{};
   // Other entries that this entry is connected to.
   size_t connected_entries = 0;
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -36,11 +36,13 @@
     limit = std::min(limit, *routed.request.caller_timeout);
   }
   routed.deadline = now + limit;
-  if (m_board->shutdown_deadline != TimePoint() &&
-      routed.deadline > m_board->shutdown_deadline) {
+  if (!m_shutdown.Takes(now, routed.deadline, route->latency_target)) {
     return FailRequest(m_board, routed, ErrorKind::kLeaving, Duration(0),
                        "would outlast this process");
   }
+  if (IsLeaving()) {
+    routed.deadline = std::min(routed.deadline, m_shutdown.AnswerDeadline());
+  }
   if (IsBarred(m_board, routed)) {
     return FailRequest(m_board, routed, ErrorKind::kBarred, Duration(0),
                        "upstreams that ran it have crashed");
@@ -84,6 +86,36 @@
   DivideConnectionLimits();
   m_plain->Tick();
   m_streams->Tick();
+  CloseForShutdown(now);
+}
+
+void Gateway::Leave(Duration stop_time) {
+  m_shutdown.Begin(m_board->clock->Now(), stop_time);
+  m_board->leaving = true;
+  m_board->shutdown_deadline = m_shutdown.AnswerDeadline();
+  m_plain->LimitDeadlines(m_board->shutdown_deadline);
+  m_streams->LimitDeadlines(m_board->shutdown_deadline);
+  m_board->server->DisableKeepAlive();
+  m_board->log->Write(
+      "leaving",
+      {{"open_requests",
+        static_cast<int64_t>(m_board->server->OpenExchangeCount())}});
+}
+
+void Gateway::CloseForShutdown(TimePoint now) {
+  if (!m_shutdown.CallersAreElsewhere(now)) return;
+  if (!std::exchange(m_idle_connections_closed, true)) {
+    m_board->server->CloseIdleConnections();
+  }
+  if (now >= m_shutdown.AnswerDeadline()) {
+    m_board->server->RefuseUnfinishedRequests();
+  }
+}
+
+bool Gateway::HasStopped(size_t unsent_bytes) {
+  const bool idle =
+      IsIdle() && !m_board->server->IsReceiving() && unsent_bytes == 0;
+  return m_shutdown.IsOver(m_board->clock->Now(), idle);
 }
 
 void Gateway::DivideConnectionLimits() {
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/object_feed.h"
 #include "burdockhill/src/gateway/plain_requests.h"
+#include "burdockhill/src/gateway/shutdown.h"
 #include "burdockhill/src/gateway/stream_calls.h"
 
 namespace burdockhill {
@@ -33,7 +34,16 @@
   // Runs periodic work. Call once per iteration of the event loop.
   void Tick();
 
+  // Begins a planned stop. The process is killed `stop_time` later.
+  void Leave(Duration stop_time);
+  bool IsLeaving() const { return m_shutdown.HasBegun(); }
+  // Whether the process ends now, given the bytes that the operating system has
+  // not accepted yet. Call after Tick.
+  bool HasStopped(size_t unsent_bytes);
+
  private:
+  // Closes and refuses what the stop leaves no time for.
+  void CloseForShutdown(TimePoint now);
   // Limits the calls to each upstream to this entry's share of the connections
   // that the upstream accepts from all entries.
   void DivideConnectionLimits();
@@ -41,6 +51,8 @@
   EntryBoard* m_board;
   PlainRequests* m_plain;
   StreamCalls* m_streams;
+  Shutdown m_shutdown;
+  bool m_idle_connections_closed = false;
 };
 
 // Decodes configurations from the store and applies valid ones to the route
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -107,6 +107,10 @@
 void PlainRequests::StartPlacedCall(Request* request,
                                     const RegisteredUpstream* upstream) {
   const RoutedRequest& routed = request->routed;
+  if (IsTooLateToCall(*request)) {
+    request->retry_reason = "would outlast this process";
+    return EndUnplaced(request);
+  }
   if (std::exchange(request->needs_retry_budget, false) &&
       !m_board->retry_budget.TrySpend(routed.service, m_board->clock->Now())) {
     return EndUnplaced(request);
@@ -120,6 +124,14 @@
   StartCall(request, upstream);
 }
 
+bool PlainRequests::IsTooLateToCall(const Request& request) const {
+  if (m_board->shutdown_deadline == TimePoint()) return false;
+  const Duration call_time =
+      request.routed.route.latency_target / kPermitWaitDivisor;
+  return request.routed.deadline == m_board->shutdown_deadline &&
+         request.routed.TimeLeft(m_board->clock->Now()) < call_time;
+}
+
 void PlainRequests::EndUnplaced(Request* request) {
   if (request->has_failed_response) return Deliver(request);
   std::string_view reason = "no upstream has room";
@@ -523,6 +535,12 @@
   }
 }
 
+void PlainRequests::LimitDeadlines(TimePoint latest) {
+  for (auto& [id, request] : m_requests) {
+    request.routed.deadline = std::min(request.routed.deadline, latest);
+  }
+}
+
 void PlainRequests::FinishRequest(http::ExchangeId id) {
   if (const Request* request = m_requests.Find(id)) {
     m_permits->Cancel(request->permit);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -30,6 +30,8 @@
   // Ends requests that have timed out and calls that got no response in time.
   // Call once per iteration of the event loop.
   void Tick();
+  // Ends all requests in progress at this time at the latest.
+  void LimitDeadlines(TimePoint latest);
   size_t InProgressCount() const { return m_requests.Size(); }
 
  private:
@@ -87,6 +89,8 @@
   // When a caller should come back that is refused; zero if that is not known.
   Duration RetryAfter(const ServiceName& service);
   void StartPlacedCall(Request* request, const RegisteredUpstream* upstream);
+  // Whether the process ends before a call that begins now normally would.
+  bool IsTooLateToCall(const Request& request) const;
   // No upstream can be called.
   void EndUnplaced(Request* request);
   // Upstreams that ran the request have crashed while it waited for a permit.
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -136,6 +136,12 @@
   }
 }
 
+void StreamCalls::LimitDeadlines(TimePoint latest) {
+  for (auto& [id, stream] : m_streams) {
+    stream.routed.deadline = std::min(stream.routed.deadline, latest);
+  }
+}
+
 void StreamCalls::ReleasePrefill(Stream* stream) {
   m_reservations->Release(stream->prefill_attempt);
   m_exchanges_by_attempt.Erase(stream->prefill_attempt);
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -37,6 +37,8 @@
   // Ends streams and calls that have timed out. Call once per iteration of the
   // event loop.
   void Tick();
+  // Ends all streams in progress at this time at the latest.
+  void LimitDeadlines(TimePoint latest);
   size_t InProgressCount() const { return m_streams.Size(); }
 
   void OnReserved(const AttemptId& attempt,
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "burdockhill/src/http/server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockhill::http {
@@ -221,6 +222,23 @@
   }
 }
 
+void Server::RefuseUnfinishedRequests() {
+  std::vector<SocketId> unfinished;
+  for (const auto& [id, connection] : m_connections) {
+    if (IsReceiving(connection)) unfinished.push_back(id);
+  }
+  for (const SocketId id : unfinished) Reject(id, kUnavailable);
+}
+
+bool Server::IsReceiving() const {
+  return std::any_of(m_connections.begin(), m_connections.end(),
+                     [](const auto& item) { return IsReceiving(item.second); });
+}
+
+bool Server::IsReceiving(const Connection& connection) {
+  return !connection.exchange.IsValid() && connection.reader.HasStarted();
+}
+
 void Server::CheckTimeouts(TimePoint now) {
   std::vector<SocketId> idle;
   std::vector<SocketId> slow;
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -56,6 +56,11 @@
   void DisableKeepAlive() { m_keep_alive_disabled = true; }
   // Closes the connections that have no request in progress.
   void CloseIdleConnections();
+  // Answers the requests that have only been received in part with 503, and
+  // closes their connections.
+  void RefuseUnfinishedRequests();
+  // Whether a request has been received in part.
+  bool IsReceiving() const;
 
   // An exchange that is no longer open is ignored by the functions below.
 
@@ -108,6 +113,7 @@
   // if `keep_alive`.
   void FinishExchange(ExchangeId id, bool keep_alive);
   void RemoveConnection(SocketId id);
+  static bool IsReceiving(const Connection& connection);
   Connection* FindConnection(ExchangeId id, SocketId* socket);
   const Connection* FindConnection(ExchangeId id) const;
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -333,7 +333,8 @@
 }
 
 TEST(Gateway, EntriesInShutdownRefuseRequestsThatWouldOutlastThem) {
-  m_board.shutdown_deadline = m_clock.Now() + milliseconds(3500);
+  m_gateway.Leave(milliseconds(6500));
+  AdvanceTime(milliseconds(2600));  // 3500 ms are left for answers.
   m_board.routes.Apply([&] {
     RoutingConfiguration next = m_board.routes.Configuration();
     next.generation = Generation(2);
