Own deployment: the drain limit answers the requests in flight

Callers saw: connections that closed without an answer when an entry of the product's own deployment reached drain_limit_ms, also for calls that must not be repeated.

Cause: RunLoop returned at the limit with requests in flight.

Shown by failures_test RequestsInProgressAtTheDrainLimitAreAnswered; with an EndRequests that ends nothing, as before: CHECK(error.has_value()) failed.

--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "burdockhill/src/adapters/caller_api.h"
 #include "burdockhill/src/adapters/engine_client.h"
@@ -24,6 +25,7 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 // How long a process stays up after its last request when it shuts down, so
 // that peers learn that it leaves and callers read the end of their responses.
+// So long before the drain limit, requests in flight are answered with errors.
 constexpr Duration kShutdownLinger = std::chrono::milliseconds(300);
 
 HttpServer::Options ServerOptions(const std::string& address,
@@ -52,9 +54,11 @@
 int RunLoop(const Settings& settings, const std::string& component,
             EventLoop* loop, PeerTransport* peers, Core* core,
             HttpServer* stream_server,
-            const std::function<size_t()>& open_requests) {
+            const std::function<size_t()>& open_requests,
+            const std::function<void()>& end_requests) {
   const SystemClock clock;
   bool leaving = false;
+  bool requests_ended = false;
   TimePoint drain_deadline{};
   TimePoint idle_since{};
   for (;;) {
@@ -75,10 +79,14 @@
     const bool idle = core->IsIdle() && !stream_server->HasUnsentBytes();
     if (!idle) idle_since = TimePoint();
     if (idle && idle_since == TimePoint()) idle_since = now;
-    if (idle && now - idle_since > kShutdownLinger) {
+    if (idle && !requests_ended && now - idle_since > kShutdownLinger) {
       LogInfo(component, "Stopped; no request was aborted.");
       return 0;
     }
+    if (now > drain_deadline - kShutdownLinger &&
+        !std::exchange(requests_ended, true)) {
+      end_requests();
+    }
     if (now > drain_deadline) {
       LogWarning(component,
                  "Stopped at the drain limit with requests in flight.");
@@ -119,8 +127,10 @@
   operators.SetServer(&operator_server);
   LogInfo("entry", "Started as " + settings.vm.Value() + " in zone " +
                        settings.zone.Value() + ".");
-  return RunLoop(settings, "entry", &loop, &peers, &core, &caller_server,
-                 [&] { return caller_server.OpenExchangeCount(); });
+  return RunLoop(
+      settings, "entry", &loop, &peers, &core, &caller_server,
+      [&] { return caller_server.OpenExchangeCount(); },
+      [&] { core.EndRequests(); });
 }
 
 int RunAgent(const Settings& settings) {
@@ -155,8 +165,9 @@
   operators.SetServer(&operator_server);
   LogInfo("agent", "Started for upstream " + settings.upstream.Value() +
                        " in zone " + settings.zone.Value() + ".");
-  return RunLoop(settings, "agent", &loop, &peers, &core, &operator_server,
-                 [&] { return core.Board().attempts.Size(); });
+  return RunLoop(
+      settings, "agent", &loop, &peers, &core, &operator_server,
+      [&] { return core.Board().attempts.Size(); }, [] {});
 }
 
 }  // namespace burdockhill
--- a/burdockhill/src/entry/entry_core.cc
+++ b/burdockhill/src/entry/entry_core.cc
@@ -48,6 +48,16 @@
 
 void EntryCore::Leave() { m_board.leaving = true; }
 
+void EntryCore::EndRequests() {
+  UpdateNow();
+  for (auto& [id, request] : m_board.requests) {
+    const bool may_have_run = request.possible_executions > 0;
+    internal::EndWithError(
+        &m_board, &request,
+        may_have_run ? ErrorKind::kTimeout : ErrorKind::kLeaving, "shutdown");
+  }
+}
+
 void EntryCore::Tick() {
   // Work that a controller queues for one that has already run is done in the
   // next pass. A request needs few passes, so the limit is rarely reached; what
--- a/burdockhill/src/entry/entry_core.h
+++ b/burdockhill/src/entry/entry_core.h
@@ -34,6 +34,10 @@
   // Starts a graceful shutdown: rejects new requests from now on.
   void Leave();
 
+  // Ends all requests with the error that is true of each: the process ends
+  // before they can be served.
+  void EndRequests();
+
   // Whether callers can be served: a configuration is in force and no shutdown
   // has started.
   bool IsReady() const {
--- a/tests/failures_test.cc
+++ b/tests/failures_test.cc
@@ -11,6 +11,9 @@
 
 using burdockhill::CommandKind;
 using burdockhill::CommandRunner;
+using burdockhill::EntryCore;
+using burdockhill::ErrorKind;
+using burdockhill::Outcome;
 using burdockhill::PromiseOracle;
 using burdockhill::emulation::EntryAgentDeployment;
 using burdockhill::emulation::EntryAgentDeploymentOptions;
@@ -253,3 +256,21 @@
                                     {CommandKind::kRestoreStore, 0, 0}})
                    .c_str());
 }
+
+// Guards against an entry that exits at its drain limit without answers.
+TEST(Failures, RequestsInProgressAtTheDrainLimitAreAnswered) {
+  EntryCore* core = deployment.Entries()[0]->Core();
+  const auto running = deployment.SendCall(0, "POST", "order");
+  deployment.RunFor(milliseconds(10));
+  const auto waiting = deployment.SendPrompt(0, "[[seed=1]]", 100);
+  core->Leave();
+  core->EndRequests();
+  deployment.RunFor(milliseconds(40));
+  const auto& views = deployment.Callers().Views();
+  CHECK(views.at(*running).error.has_value());
+  CHECK(views.at(*running).error->kind == ErrorKind::kTimeout);
+  CHECK(views.at(*running).error->outcome == Outcome::kUnknown);
+  CHECK(views.at(*waiting).error->kind == ErrorKind::kLeaving);
+  CHECK(views.at(*waiting).error->outcome == Outcome::kNotRun);
+  LONGS_EQUAL(1, views.at(*running).final_responses);
+}
