A shorter idle timeout holds for waits that begin after it

Callers saw: when a new configuration has a shorter idle timeout, all kept connections that were idle for longer closed in the same moment, and a request that was on its way got neither an answer nor a refusal. A body that was arriving got 408 in the middle.

Cause: Server::SetLimits replaces the limit of waits that have begun, too; the graceful close then discards what arrives.

Fix: a connection keeps the limit under which its wait began, if that is the longer one. The next wait has the new limit.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -20,7 +20,7 @@
 SocketEvents* Server::OnAccepted(SocketId id) {
   Connection& connection =
       m_connections.FindOrInsert(id, m_limits.max_header_bytes);
-  connection.wait_start = m_clock->Now();
+  StartWait(&connection);
   return this;
 }
 
@@ -40,7 +40,7 @@
   }
   MessageReader& reader = connection->reader;
   const bool had_head = reader.HasHead();
-  if (!reader.HasStarted() || had_head) connection->wait_start = m_clock->Now();
+  if (!reader.HasStarted() || had_head) StartWait(connection);
   const size_t consumed = reader.Consume(bytes);
   if (reader.Error() == ReadError::kHeaderTooLarge) {
     return Reject(id, kHeaderTooLarge);
@@ -66,6 +66,11 @@
   DispatchRequest(id, connection);
 }
 
+void Server::StartWait(Connection* connection) const {
+  connection->wait_start = m_clock->Now();
+  connection->idle_timeout = m_limits.idle_timeout;
+}
+
 void Server::DispatchRequest(SocketId id, Connection* connection) {
   const ExchangeId exchange(++m_last_exchange_id);
   connection->exchange = exchange;
@@ -99,7 +104,7 @@
   if (connection == nullptr) return;
   // The caller is idle only once it has the whole response.
   if (!connection->exchange.IsValid()) {
-    connection->wait_start = m_clock->Now();
+    StartWait(connection);
     return;
   }
   m_events->OnOutputDrained(connection->exchange);
@@ -196,7 +201,7 @@
   }
   SetBodyBytes(connection, 0);
   connection->reader.Reset();
-  connection->wait_start = m_clock->Now();
+  StartWait(connection);
   m_sockets->SetReading(socket, true);
   const std::string pipelined = std::exchange(connection->pipelined, {});
   if (!pipelined.empty()) ProcessInput(socket, pipelined);
@@ -251,7 +256,8 @@
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
     Duration limit =
-        reading_head ? m_limits.header_timeout : m_limits.idle_timeout;
+        reading_head ? m_limits.header_timeout
+                     : std::max(m_limits.idle_timeout, connection.idle_timeout);
     if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -50,7 +50,9 @@
 
   // Throws std::runtime_error if the address cannot be listened on.
   void Listen(const Address& address) { m_sockets->Listen(address, this); }
-  // The header size limit applies to connections that are accepted afterwards.
+  // The header size limit applies to connections that are accepted afterwards,
+  // and a shorter idle timeout to waits that begin afterwards: a caller may
+  // count on the time that held when it got its last response.
   void SetLimits(const ServerLimits& limits) { m_limits = limits; }
   // Closes each connection after its current or next response, once it has no
   // pipelined requests.
@@ -93,6 +95,7 @@
     std::string pipelined;  // Bytes received after the current request.
     ExchangeId exchange;
     TimePoint wait_start{};     // Start of the current wait for input.
+    Duration idle_timeout{};    // The limit when that wait began.
     size_t body_bytes = 0;      // Share of m_total_body_bytes.
     bool input_ended = false;   // The caller has closed its sending side.
     bool is_streaming = false;  // The response has started as a stream.
@@ -108,6 +111,8 @@
   void OnFailed(SocketId id) override;
 
   void ProcessInput(SocketId id, std::string_view bytes);
+  // Input is awaited from now on.
+  void StartWait(Connection* connection) const;
   void DispatchRequest(SocketId id, Connection* connection);
   void Reject(SocketId id, int status);
   void SetBodyBytes(Connection* connection, size_t bytes);
