--- a/tests/gateway_test_planned_stop.cc
+++ b/tests/gateway_test_planned_stop.cc
@@ -252,6 +252,16 @@
   CHECK(m_sockets.GetConnection(caller).closed_gracefully);
 }
 
+TEST(PlannedStop, StreamsThatWaitForAgentsThatStopAreServedWithoutThem) {
+  Post("/stream/x");
+  m_agents_are_alive = false;
+  for (const char* agent : {"10.0.2.1", "10.0.2.2", "10.0.2.3"}) {
+    m_reservations.OnPeerDown(VmName(agent));
+  }
+  AdvanceTime(milliseconds(200));
+  LONGS_EQUAL(1, m_sockets.AllOutgoing().size());
+}
+
 TEST_GROUP(Shutdown) { TimePoint m_start{seconds(100)}; };
 
 TEST(Shutdown, EveryStopTimeLeavesTimeToAnswerBeforeTheKill) {
