Pages, reports and lists that broke off are not decoded

Operators of similar systems saw answers whose head broke off pass as whole. No cut head does here: CutHeads and CutAnswers cut answers after every byte, and all tests of calls, streams and prefills passed on the code before.

What was taken as whole are bodies without framing that end with their connection, and bodies of which bytes beyond a limit were dropped: the parts of a store's page and of an engine's report are read as text, each by itself, and nothing looked at the end of the document.

Fix: a document is decoded only if it is one object up to its end, so that the call counts as failed and is repeated.

--- a/burdockhill/src/adapters/platform_client.cc
+++ b/burdockhill/src/adapters/platform_client.cc
@@ -75,12 +75,13 @@
 }
 
 // Reads the elements of the array `name` of a response, each by itself. Returns
-// nullopt if the response has no such array.
+// nullopt if the response is not whole or has no such array.
 template <typename T>
 std::optional<std::vector<T>> ReadEntries(const std::string& body,
                                           const char* name,
                                           T (*read)(const json&),
                                           const PlatformClient::Warn& warn) {
+  if (!IsWholeJsonObject(body)) return std::nullopt;
   const auto elements = JsonElements(JsonMember(body, name).value_or(""));
   if (!elements.has_value()) return std::nullopt;
   std::vector<T> entries;
--- a/burdockhill/src/resources/json_text.cc
+++ b/burdockhill/src/resources/json_text.cc
@@ -29,6 +29,12 @@
     return m_at > start;
   }
 
+  // Whether only white space is left.
+  bool IsAtEnd() {
+    SkipSpace();
+    return m_at >= m_text.size();
+  }
+
  private:
   void SkipSpace() {
     const size_t next = m_text.find_first_not_of(" \t\r\n", m_at);
@@ -107,4 +113,11 @@
   return std::nullopt;
 }
 
+bool IsWholeJsonObject(std::string_view text) {
+  Cursor cursor(text);
+  std::string_view value;
+  return cursor.SkipValue(&value) && value.front() == '{' &&
+         value.back() == '}' && cursor.IsAtEnd();
+}
+
 }  // namespace burdockhill
--- a/burdockhill/src/resources/json_text.h
+++ b/burdockhill/src/resources/json_text.h
@@ -22,6 +22,10 @@
 std::optional<std::string_view> JsonMember(std::string_view text,
                                            std::string_view name);
 
+// Whether `text` is one object and nothing else. A document whose transfer
+// broke off lacks the end of its object.
+bool IsWholeJsonObject(std::string_view text);
+
 }  // namespace burdockhill
 
 #endif  // BURDOCKHILL_SRC_RESOURCES_JSON_TEXT_H_
