--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "burdockhill/src/http/server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockhill::http {
@@ -19,7 +20,7 @@
 SocketEvents* Server::OnAccepted(SocketId id) {
   Connection& connection =
       m_connections.FindOrInsert(id, m_limits.max_header_bytes);
-  connection.wait_start = m_clock->Now();
+  StartWait(&connection);
   return this;
 }
 
@@ -39,7 +40,7 @@
   }
   MessageReader& reader = connection->reader;
   const bool had_head = reader.HasHead();
-  if (!reader.HasStarted() || had_head) connection->wait_start = m_clock->Now();
+  if (!reader.HasStarted() || had_head) StartWait(connection);
   const size_t consumed = reader.Consume(bytes);
   if (reader.Error() == ReadError::kHeaderTooLarge) {
     return Reject(id, kHeaderTooLarge);
@@ -65,6 +66,11 @@
   DispatchRequest(id, connection);
 }
 
+void Server::StartWait(Connection* connection) const {
+  connection->wait_start = m_clock->Now();
+  connection->idle_timeout = m_limits.idle_timeout;
+}
+
 void Server::DispatchRequest(SocketId id, Connection* connection) {
   const ExchangeId exchange(++m_last_exchange_id);
   connection->exchange = exchange;
@@ -98,7 +104,7 @@
   if (connection == nullptr) return;
   // The caller is idle only once it has the whole response.
   if (!connection->exchange.IsValid()) {
-    connection->wait_start = m_clock->Now();
+    StartWait(connection);
     return;
   }
   m_events->OnOutputDrained(connection->exchange);
@@ -143,8 +149,7 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
-  const bool keep_alive = connection->reader.MessageHead().keep_alive &&
-                          !connection->input_ended && !m_keep_alive_disabled;
+  const bool keep_alive = KeepsAlive(*connection);
   std::string bytes = FormatResponse(head, body.size(), keep_alive);
   if (connection->reader.MessageHead().method != "HEAD") bytes.append(body);
   m_sockets->Write(socket, bytes);
@@ -155,9 +160,9 @@
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
-  const bool keep_alive = connection->reader.MessageHead().keep_alive &&
-                          !connection->input_ended && !m_keep_alive_disabled;
+  const bool keep_alive = KeepsAlive(*connection);
   connection->is_streaming = true;
+  connection->said_close = !keep_alive;
   m_sockets->Write(socket, FormatResponse(head, std::nullopt, keep_alive));
 }
 
@@ -172,8 +177,7 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   m_sockets->Write(socket, kLastChunk);
-  FinishExchange(id, connection->reader.MessageHead().keep_alive &&
-                         !connection->input_ended && !m_keep_alive_disabled);
+  FinishExchange(id, !connection->said_close && KeepsAlive(*connection));
 }
 
 void Server::Abort(ExchangeId id) {
@@ -197,7 +201,7 @@
   }
   SetBodyBytes(connection, 0);
   connection->reader.Reset();
-  connection->wait_start = m_clock->Now();
+  StartWait(connection);
   m_sockets->SetReading(socket, true);
   const std::string pipelined = std::exchange(connection->pipelined, {});
   if (!pipelined.empty()) ProcessInput(socket, pipelined);
@@ -221,6 +225,29 @@
   }
 }
 
+bool Server::KeepsAlive(const Connection& connection) const {
+  const bool may_close = m_keep_alive_disabled && connection.pipelined.empty();
+  return connection.reader.MessageHead().keep_alive &&
+         !connection.input_ended && !may_close;
+}
+
+void Server::RefuseUnfinishedRequests() {
+  std::vector<SocketId> unfinished;
+  for (const auto& [id, connection] : m_connections) {
+    if (IsReceiving(connection)) unfinished.push_back(id);
+  }
+  for (const SocketId id : unfinished) Reject(id, kUnavailable);
+}
+
+bool Server::IsReceiving() const {
+  return std::any_of(m_connections.begin(), m_connections.end(),
+                     [](const auto& item) { return IsReceiving(item.second); });
+}
+
+bool Server::IsReceiving(const Connection& connection) {
+  return !connection.exchange.IsValid() && connection.reader.HasStarted();
+}
+
 void Server::CheckTimeouts(TimePoint now) {
   std::vector<SocketId> idle;
   std::vector<SocketId> slow;
@@ -229,7 +256,8 @@
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
     Duration limit =
-        reading_head ? m_limits.header_timeout : m_limits.idle_timeout;
+        reading_head ? m_limits.header_timeout
+                     : std::max(m_limits.idle_timeout, connection.idle_timeout);
     if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
