The emulated engine has a software version and can be replaced

The soak could not show streams that two software versions wrote: nothing in an event told which one had written it, and an engine could not be replaced at its address. ModelRunnerFake can now state its version in each event, refuses requests for another name with 421, states born in its report and can start as a new process. It ends a stream that is resumed after its last event; it wrote one event too many before. Tests that set no name and no version see no change but that last one.

--- a/emulation/model_runner_fake.cc
+++ b/emulation/model_runner_fake.cc
@@ -20,6 +20,7 @@
 
 constexpr int kAcceptedStatus = 202;
 constexpr int kConflictStatus = 409;
+constexpr int kWrongRunnerStatus = 421;
 constexpr Duration kIdleCheckInterval = std::chrono::milliseconds(100);
 constexpr Duration kKvHandleLifetime = std::chrono::milliseconds(500);
 
@@ -49,6 +50,23 @@
   m_server.Respond(id, head, body);
 }
 
+void ModelRunnerFake::Restart(const std::string& name,
+                              const std::string& version,
+                              int64_t started_at_ms) {
+  m_options.name = name;
+  m_options.version = version;
+  m_options.started_at_ms = started_at_ms;
+  for (const auto& [id, run] : m_runs) m_server.Abort(id);
+  for (const Prompt& prompt : m_queued_prompts) m_server.Abort(prompt.id);
+  m_runs.clear();
+  m_queued_prompts.clear();
+  std::erase_if(*m_handles, [this](const std::string& handle) {
+    return handle.starts_with(m_options.address + "-");
+  });
+  m_orders_accepted = 0;
+  ++m_lifetime;
+}
+
 void ModelRunnerFake::OnRequest(http::ExchangeId id, http::Head head,
                                 std::string body) {
   if (m_crashed) return;
@@ -60,6 +78,11 @@
   }
   if (head.target == "/-/order") return HandleRoleOrder(id, body);
   m_rate.Count(m_clock->Now(), request_id);
+  const std::string expected = HeaderValue(head, "X-Expect-Instance");
+  if (!m_options.name.empty() && !expected.empty() &&
+      expected != m_options.name) {
+    return Respond(id, kWrongRunnerStatus, request_id, "", /*not_run=*/true);
+  }
   if (m_is_changing_role) {
     return Respond(id, http::kUnavailable, request_id, "", /*not_run=*/true);
   }
@@ -80,8 +103,12 @@
             std::to_string(run.produced / m_options.tokens_per_event) + ",5]";
   }
   const bool prefill = m_options.role == EngineRole::kPrefill;
+  const std::string born =
+      m_options.started_at_ms == 0
+          ? ""
+          : R"("born":)" + std::to_string(m_options.started_at_ms) + ",";
   Respond(id, http::kOk, "",
-          std::string(R"({"stage":")") + (prefill ? "prefill" : "decode") +
+          "{" + born + R"("stage":")" + (prefill ? "prefill" : "decode") +
               R"(","busy":)" + (m_is_changing_role ? "true" : "false") +
               R"(,"seq":)" + std::to_string(m_orders_accepted) +
               R"(,"queued":0,"active":0,"kvUsed":0,)" + R"("kvTotal":)" +
@@ -125,9 +152,14 @@
   m_is_prefilling = true;
   const Prompt prompt = m_queued_prompts.front();
   m_queued_prompts.pop_front();
-  m_queue->Schedule(PrefillTime(prompt.tokens), [this, prompt] {
+  const int lifetime = m_lifetime;
+  m_queue->Schedule(PrefillTime(prompt.tokens), [this, prompt, lifetime] {
     m_is_prefilling = false;
     if (m_crashed) return;
+    if (lifetime != m_lifetime) {
+      m_server.Abort(prompt.id);
+      return StartNextPrefill();
+    }
     const std::string handle =
         m_options.address + "-" + std::to_string(++m_last_number);
     if (!m_options.loses_kv) m_handles->insert(handle);
@@ -169,13 +201,17 @@
   const int64_t last_event_id = FirstNumberInHeader(head, "Last-Event-Id");
   run.produced = last_event_id * m_options.tokens_per_event;
   run.start_number = ++m_last_number;
-  m_runs[id] = run;
   http::Head answer;
   answer.status = http::kOk;
   answer.headers.Add("X-Request-Id", request_id);
   answer.headers.Add("X-Response-Seal", "seal");
   m_rate.StateLimit(&answer);
   m_server.StartStream(id, answer);
+  // A stream that is resumed after its last event only ends.
+  if (last_event_id > 0 && run.produced >= run.length) {
+    return m_server.EndStream(id);
+  }
+  m_runs[id] = run;
 }
 
 int64_t ModelRunnerFake::MemoryUsed() const {
@@ -208,6 +244,8 @@
                       [this] { StepBatch(); });
     return;
   }
+  const std::string version =
+      m_options.version.empty() ? "" : " " + m_options.version;
   std::vector<http::ExchangeId> ended;
   for (auto& [id, run] : m_runs) {
     if (run.recompute_left > Duration(0)) {
@@ -217,8 +255,8 @@
     }
     run.produced += m_options.tokens_per_event;
     const int64_t event = run.produced / m_options.tokens_per_event;
-    m_server.WriteStream(id, "id: " + std::to_string(event) +
-                                 "\ndata: " + run.request_id + "\n\n");
+    m_server.WriteStream(id, "id: " + std::to_string(event) + "\ndata: " +
+                                 run.request_id + version + "\n\n");
     if (run.produced >= run.length) ended.push_back(id);
   }
   for (const http::ExchangeId id : ended) {
--- a/emulation/model_runner_fake.h
+++ b/emulation/model_runner_fake.h
@@ -48,6 +48,11 @@
     int lose_every_nth_prefill = 0;
     // The KV caches of its prompts are lost before another runner has them.
     bool loses_kv = false;
+    // Its registered name and its software version, which each event states.
+    // Empty: answers requests for any name, and events state no version.
+    std::string name;
+    std::string version;
+    int64_t started_at_ms = 0;
   };
 
   ModelRunnerFake(const Options& options, Sockets* sockets, EventQueue* queue,
@@ -63,6 +68,11 @@
   EngineRole Role() const { return m_options.role; }
   // Of the calls that compute prompts or decode.
   RequestRate& Rate() { return m_rate; }
+  const std::string& Version() const { return m_options.version; }
+  int64_t StartedAtMs() const { return m_options.started_at_ms; }
+  // Starts a new process at the same address; requests in progress are lost.
+  void Restart(const std::string& name, const std::string& version,
+               int64_t started_at_ms);
   // Stops the runner permanently; requests in progress are lost.
   void Crash() { m_crashed = true; }
 
@@ -110,6 +120,7 @@
   int m_orders_accepted = 0;
   uint64_t m_last_number = 0;
   int m_prefill_count = 0;
+  int m_lifetime = 0;  // Counts the restarts.
 };
 
 }  // namespace burdockhill::emulation
