The soak's proxy cuts heads, falls silent and stands for a process that is gone

The soak could not play three things that upstreams do: an answer that breaks off in the middle of its head, a second without a byte from a sound process, and a process that is gone until another one takes its place. FaultProxy does them now; every other cut head ends at the end of a line, where it may look complete. It also knows for how long it has been sound.

Nothing uses them in this commit.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -18,6 +18,7 @@
 }
 
 SocketEvents* FaultProxy::OnAccepted(SocketId id) {
+  if (m_is_gone) return nullptr;
   const SocketId target = m_sockets->Connect(m_target_address, this);
   if (!target.IsValid()) return nullptr;
   m_connections.FindOrInsert(id) = {target, false, true, "", false, {}, ""};
@@ -40,15 +41,47 @@
       (m_fault == Fault::kDropResponses && connection->to_target);
   connection->drops_all = connection->drops_all || dropped;
   if (connection->drops_all) return;
+  if (m_heads_to_cut > 0 && connection->to_target && CutHead(id, bytes)) return;
   if (m_repeats) RepeatAnswer(id, bytes);
   const TimePoint now = m_clock->Now();
-  const TimePoint at = std::max(now + m_delay, connection->forward_at);
+  TimePoint at = std::max(now + m_delay, connection->forward_at);
+  if (connection->to_target) at = std::max(at, m_silent_until);
   if (at <= now) return Forward(id, bytes);
   connection->forward_at = at;
   m_queue->Schedule(
       at - now, [this, id, text = std::string(bytes)] { Forward(id, text); });
 }
 
+void FaultProxy::SetGone(bool gone) {
+  m_is_gone = gone;
+  if (gone) CloseAll(/*reset=*/true);
+}
+
+void FaultProxy::CutHeads(int answers, double position, bool reset) {
+  m_heads_to_cut = answers;
+  m_cut_position = position;
+  m_cut_resets = reset;
+}
+
+bool FaultProxy::CutHead(SocketId id, std::string_view bytes) {
+  const size_t end = bytes.find("\r\n\r\n");
+  if (!bytes.starts_with("HTTP/1.1 ") || end == bytes.npos ||
+      bytes.substr(0, end).find("X-Request-Id") == bytes.npos) {
+    return false;
+  }
+  --m_heads_to_cut;
+  NoteFault();
+  auto cut =
+      static_cast<size_t>(m_cut_position * static_cast<double>(end + 3)) + 1;
+  // Every other cut is at the end of a line, where a head may look complete.
+  if (++m_cut_count % 2 == 0) {
+    cut = std::min(bytes.find("\r\n", cut - 1), end) + 2;
+  }
+  Forward(id, bytes.substr(0, cut));
+  CloseBoth(id, m_cut_resets);
+  return true;
+}
+
 void FaultProxy::RepeatAnswer(SocketId id, std::string_view bytes) {
   Connection* connection = m_connections.Find(id);
   if (!connection->to_target) {
@@ -93,7 +126,7 @@
 }
 
 void FaultProxy::CloseAll(bool reset) {
-  m_had_fault = true;
+  NoteFault();
   std::vector<SocketId> ids;
   for (const auto& [id, connection] : m_connections) ids.push_back(id);
   for (const SocketId id : ids) CloseBoth(id, reset);
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -24,16 +24,30 @@
              const std::string& address, const std::string& target);
 
   void SetFault(Fault fault) {
+    if (fault != m_fault) NoteFault();
     m_fault = fault;
-    m_had_fault = m_had_fault || fault != Fault::kNone;
   }
   // Delays bytes in both directions; their order is kept.
   void SetDelay(Duration delay) {
+    if (delay != m_delay) NoteFault();
     m_delay = delay;
-    m_had_fault = m_had_fault || delay > Duration(0);
   }
+  // Holds the bytes that come from the target back until then. No fault.
+  void SilenceUntil(TimePoint until) { m_silent_until = until; }
+  // Whether the process behind it is gone: closes all connections, new ones
+  // too.
+  void SetGone(bool gone);
+  // Cuts the next answers to requests in the middle of their heads and closes
+  // or resets the connections.
+  void CutHeads(int answers, double position, bool reset);
+  int CutCount() const { return m_cut_count; }
   // Whether it has ever injected a fault other than to repeat answers.
-  bool HadFault() const { return m_had_fault; }
+  bool HadFault() const { return m_fault_at != TimePoint::min(); }
+  // Whether it has injected no such fault for so long.
+  bool IsSoundFor(Duration time) const {
+    return m_fault == Fault::kNone && m_delay == Duration(0) &&
+           (!HadFault() || m_clock->Now() - m_fault_at > time);
+  }
   // Sends a copy of each answer once more where the next one is due, if it is
   // complete in one read.
   void SetRepeats(bool repeats) { m_repeats = repeats; }
@@ -58,6 +72,10 @@
   void OnBytes(SocketId id, std::string_view bytes) override;
   void OnEndOfInput(SocketId id) override;
   void OnFailed(SocketId id) override;
+  void NoteFault() { m_fault_at = m_clock->Now(); }
+  // Forwards a part of the answer's head and ends the connection. Returns false
+  // if these bytes are no answer to a request.
+  bool CutHead(SocketId id, std::string_view bytes);
   // Keeps a complete answer, and repeats it before the answer to a request.
   void RepeatAnswer(SocketId id, std::string_view bytes);
   // Writes bytes received on `id` to the other side.
@@ -70,8 +88,14 @@
   Address m_target_address;
   Fault m_fault = Fault::kNone;
   bool m_repeats = false;
-  bool m_had_fault = false;
+  TimePoint m_fault_at = TimePoint::min();  // When the last fault changed.
   Duration m_delay{0};
+  TimePoint m_silent_until{};
+  bool m_is_gone = false;
+  int m_heads_to_cut = 0;
+  double m_cut_position = 0;
+  bool m_cut_resets = false;
+  int m_cut_count = 0;
   Table<SocketId, Connection> m_connections;
 };
 
