The soak plays two software versions, take-ups, cut heads, late requests, silence and common kills

CLASSES names what a run plays besides, each alone or with others, and CALM=1 leaves the other faults out. Checked are: no stream of two versions, within an answer or over a caller's tries; no event missing or repeated over the tries, also in answers that were broken off; of 12 or more streams taken up at undisturbed entries, while two undisturbed engines of the version serve, at least half the share that new streams have goes on (streams that began before all agents were killed at once are left out, as no process is left that has seen them); no request is cut off over 250 ms after it was sent to an entry that has planned stops only; no stream of a sound, silent engine is broken off. The choices of faults and callers no longer depend on how often the loop runs. soak.cc is split: upstreams, callers, checks.

--- /dev/null
+++ b/soak/checks.h
@@ -0,0 +1,18 @@
+#ifndef BURDOCKHILL_SOAK_CHECKS_H_
+#define BURDOCKHILL_SOAK_CHECKS_H_
+
+#include "soak/callers.h"
+#include "soak/environment.h"
+#include "soak/signals.h"
+#include "soak/upstreams.h"
+
+namespace burdockhill::soak {
+
+// Checks what callers and upstreams saw in a run that has ended. Prints the
+// violations and a summary, and returns the number of violations.
+int CheckResults(const Environment& environment, const Signals& signals,
+                 const Callers& callers, Upstreams* upstreams);
+
+}  // namespace burdockhill::soak
+
+#endif  // BURDOCKHILL_SOAK_CHECKS_H_
