Silence is no evidence of a crash

A sound upstream that had been silent, and to which one connection later took over 350 ms, counted as crashed by the request that it had run: three such cases refuse the request, or all prompts with a part of its prompt.

Cause: a call that was given up for its silence was recorded like one whose connection broke. Fix: only a silent call that breaks off is recorded.

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -542,11 +542,13 @@
     Place(request);
   }
   for (const http::ExchangeId id : unresponsive) {
-    const Request* request = m_requests.Find(id);
+    Request* request = m_requests.Find(id);
     if (!HasNextUpstream(*request)) continue;
-    const http::CallId call = request->call;
-    m_board->connections->Cancel(call);
-    OnCallFailed(call, http::CallFailure::kBroken);
+    m_board->connections->Cancel(request->call);
+    m_exchanges_by_call.Erase(request->call);
+    request->call = http::CallId();
+    RecordCallEnd(request, CallResult::kFailed);
+    RetryOrGiveUp(request, CallOutcome::kMayHaveRun, "upstream is silent");
   }
   for (const http::ExchangeId id : timed_out) {
     Request* request = m_requests.Find(id);
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -241,8 +241,6 @@
   void ReplaceSilentCall(Stream* stream);
   // The silent engine has broken off.
   void OnSilentCallFailed(Stream* stream);
-  // The engine of the silent call counts as one that broke off.
-  void RecordSilentCallBroken(const Stream& stream);
   void ReleaseSilentCall(Stream* stream);
   void ForwardHead(Stream* stream, const http::Head& head);
   // Releases the reservations, the KV cache and the call of the current
--- a/burdockhill/src/gateway/stream_silence.cc
+++ b/burdockhill/src/gateway/stream_silence.cc
@@ -108,7 +108,6 @@
                        {"after_event", LastEventId(*stream)},
                        {"parts", SharedPartsText(stream->routed.request)},
                        {"reason", std::string("engine is silent")}});
-  RecordSilentCallBroken(*stream);
   ReleaseSilentCall(stream);
 }
 
@@ -119,17 +118,13 @@
                        {"after_event", LastEventId(*stream)},
                        {"parts", SharedPartsText(stream->routed.request)},
                        {"reason", std::string("silent engine broke off")}});
-  RecordSilentCallBroken(*stream);
-  ReleaseSilentCall(stream);
-}
-
-void StreamCalls::RecordSilentCallBroken(const Stream& stream) {
-  const RoutedRequest& routed = stream.routed;
-  const SilentCall& silent = *stream.silent_call;
+  const SilentCall& silent = *stream->silent_call;
+  const RoutedRequest& routed = stream->routed;
   m_board->poison_detector.RecordBrokenConnection(
       routed.Fingerprint(), silent.decode_engine, m_board->clock->Now(),
       silent.answer_is_sound ? std::vector<PromptPartName>()
                              : routed.request.shared_prompt_parts);
+  ReleaseSilentCall(stream);
 }
 
 void StreamCalls::ReleaseSilentCall(Stream* stream) {
--- a/tests/gateway_test_silent_upstreams.cc
+++ b/tests/gateway_test_silent_upstreams.cc
@@ -260,3 +260,26 @@
   STRCMP_CONTAINS("HTTP/1.1 200", answer.c_str());
   STRCMP_CONTAINS("late", answer.c_str());
 }
+
+TEST(SilentUpstreams, SilenceIsNoEvidenceOfACrash) {
+  SocketId caller;
+  const SocketId decode = StartStream("/resume/x", &caller);
+  const bool is_first = m_sockets.GetConnection(decode).address == kDecodeOne;
+  std::string answer = kNextAnswer;
+  answer.resize(answer.find("0\r\n\r\n"));  // The stream goes on.
+  m_sockets.Inject(StartNextCall(decode), answer);
+  m_board.poison_detector.RecordUnreachable(
+      UpstreamName(is_first ? "e1" : "e2"), m_clock.Now());
+  LONGS_EQUAL(0, m_board.poison_detector.AllCrashes().size());
+}
+
+TEST(SilentUpstreams, ASilentPlainUpstreamIsNoEvidenceOfACrash) {
+  Post("/safe/x");
+  const SocketId upstream = EstablishPlain();
+  const bool is_first = m_sockets.GetConnection(upstream).address == kPlainOne;
+  AdvanceTime(milliseconds(1000));
+  CHECK(!m_sockets.GetConnection(upstream).open);
+  m_board.poison_detector.RecordUnreachable(
+      UpstreamName(is_first ? "p1" : "p2"), m_clock.Now());
+  LONGS_EQUAL(0, m_board.poison_detector.AllCrashes().size());
+}
