A silent prefill is not cancelled if the retry budget is spent

Callers were refused (503) while a sound engine, silent for two seconds, still computed their prompt; a stream that had begun was reset. Cause: as for decode calls, the prefill was cancelled before it was known that another call was allowed.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // A prefill call without a complete response is cancelled after the longer of
-// this time and this many latency targets.
+// this time and this many latency targets, if the retry budget allows another.
 constexpr Duration kMinPrefillTimeout = std::chrono::milliseconds(2000);
 constexpr int kPrefillTimeoutTargets = 2;
 
@@ -123,7 +123,8 @@
       resumed.push_back(id);
     } else if (stream.phase == Phase::kPrefilling &&
                now - stream.call_started_at >
-                   PrefillTimeout(stream.routed.route)) {
+                   PrefillTimeout(stream.routed.route) &&
+               m_board->retry_budget.Allows(stream.routed.service, now)) {
       slow_prefills.push_back(stream.call);
     } else if (IsHandOverDue(stream)) {
       handed_over.push_back(id);
--- a/tests/gateway_test_silent_upstreams.cc
+++ b/tests/gateway_test_silent_upstreams.cc
@@ -283,3 +283,14 @@
       UpstreamName(is_first ? "p1" : "p2"), m_clock.Now());
   LONGS_EQUAL(0, m_board.poison_detector.AllCrashes().size());
 }
+
+TEST(SilentUpstreams, APrefillIsNotCancelledIfTheRetryBudgetIsSpent) {
+  const SocketId caller = Post("/stream/x");
+  CHECK(GrantLatest<ReserveDecode>());
+  CHECK(GrantLatest<ReservePrefill>());
+  const SocketId prefill = EstablishTo(kPrefill);
+  SpendRetryBudget("llm");
+  AdvanceTime(milliseconds(2300));
+  CHECK(m_sockets.GetConnection(prefill).open);
+  CHECK(m_sockets.GetConnection(caller).open);
+}
