Another agent is asked while the first one is silent

Callers were refused (503) although another engine had room: the agent that was asked first had fallen silent, and the reservation waited for it for its whole time.

Fix: while all agents that were asked have missed their load reports, one more is asked; the first grant wins, as before. gateway_test AnotherAgentIsAskedIfTheFirstIsSilent failed before (1 agent asked), now OK (225 tests).

--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -14,6 +14,8 @@
 // An agent whose last message is older counts as disconnected. Load reports
 // arrive at least twice a second.
 constexpr Duration kAgentSilenceTimeout = std::chrono::milliseconds(1800);
+// While all agents that were asked are silent for longer, another one is asked.
+constexpr Duration kLateReport = std::chrono::milliseconds(700);
 // Entries share an engine without an agent evenly. An entry is connected only
 // to its seeds and to those that have it as a seed, and may thus count too few
 // entries, so it assumes at least this many.
@@ -315,6 +317,15 @@
   if (Engine* engine = m_engines.Find(name)) engine->backoff = Duration(0);
 }
 
+bool Reservations::AreAskedAgentsSilent(const ActiveReservation& active) const {
+  const TimePoint now = m_board->clock->Now();
+  return std::all_of(
+      active.asked.begin(), active.asked.end(), [&](const UpstreamName& name) {
+        const Engine* engine = m_engines.Find(name);
+        return engine == nullptr || now - engine->last_heard_at > kLateReport;
+      });
+}
+
 void Reservations::Tick() {
   SyncWithDirectory();
   m_pool_rates.Tick();
@@ -349,8 +360,13 @@
       }
     }
     if (now >= active->local_due_at) AskLocalEngine(attempt, active);
-    if (!active->asked.empty()) continue;
     const bool may_wait = now < active->grant_deadline;
+    if (!active->asked.empty()) {
+      if (may_wait && AreAskedAgentsSilent(*active)) {
+        AskMoreAgents(attempt, active, 1);
+      }
+      continue;
+    }
     if (may_wait && AskMoreAgents(attempt, active, 1)) continue;
     if (may_wait && AskLocalEngine(attempt, active)) continue;
     if (ReserveWithoutAgent(attempt, active)) continue;
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -139,6 +139,9 @@
   // Asks the agent of the decode engine whether that engine may compute the
   // prompt; false if it cannot be asked.
   bool AskLocalEngine(const AttemptId& attempt, ActiveReservation* active);
+  // Whether none of the agents that were asked has sent its load reports
+  // lately.
+  bool AreAskedAgentsSilent(const ActiveReservation& active) const;
   // Uses an engine whose agent is not connected; false if there is none, or
   // none with enough memory left in this entry's share.
   bool ReserveWithoutAgent(const AttemptId& attempt, ActiveReservation* active);
--- a/tests/gateway_test_silent_upstreams.cc
+++ b/tests/gateway_test_silent_upstreams.cc
@@ -1,6 +1,8 @@
 // Module gateway: upstreams that fall silent in the middle of a request and go
 // on later.
 
+#include <set>
+
 #include "tests/gateway_test_entry.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
@@ -294,3 +296,22 @@
   CHECK(m_sockets.GetConnection(prefill).open);
   CHECK(m_sockets.GetConnection(caller).open);
 }
+
+TEST(SilentUpstreams, AnotherAgentIsAskedIfTheFirstIsSilent) {
+  m_peer_link.sent.clear();
+  Post("/resume/x");
+  std::set<std::string> asked;
+  for (int i = 0; i < 60; ++i) {
+    for (const auto& [vm, message] : m_peer_link.sent) {
+      if (std::holds_alternative<ReserveDecode>(message)) {
+        asked.insert(vm.Value());
+      }
+    }
+    m_clock.Advance(milliseconds(20));
+    for (const char* agent : {"10.0.2.2", "10.0.2.3"}) {
+      if (!asked.contains(agent)) SendLoadReport(agent, EngineRole::kDecode);
+    }
+    Tick();
+  }
+  LONGS_EQUAL(2, asked.size());
+}
