A process that is not registered yet gets no streams under its former version

Callers could get streams joined from two versions when an engine restarted under its name at another version: until the registry showed the new process, entries took it for the former one, recorded its streams at the former version and let them go on there.

Cause: a registration is of a process, and the grant of its agent named only the VM. Fix: the agent reads from the engine's report when the process started, a grant tells it, and the entry uses no grant of another process than the registered one; it asks the next agent. Where either time is unknown, nothing changes.

gateway_test AnEngineThatRestartedUnderItsNameGetsNoStreamBefore failed without the check (a prefill was reserved for it).

--- a/burdockhill/src/gateway/codecs.h
+++ b/burdockhill/src/gateway/codecs.h
@@ -109,6 +109,7 @@
 // State of an engine as the engine reports it.
 struct EngineReport {
   EngineRole role = EngineRole::kDecode;
+  int64_t started_at_ms = 0;  // Of the engine's process; zero if unknown.
   bool is_changing_role = false;
   uint64_t orders_accepted = 0;
   int waiting_requests = 0;
--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -231,9 +231,10 @@
        queue->Decide(admission, now)) {
     const Reservation& reservation = decision.reservation;
     if (decision.granted) {
-      m_peers->Send(reservation.entry,
-                    ReserveGranted{reservation.attempt,
-                                   EngineName(m_options.vm.Value())});
+      m_peers->Send(
+          reservation.entry,
+          ReserveGranted{reservation.attempt, EngineName(m_options.vm.Value()),
+                         m_report->started_at_ms});
       continue;
     }
     m_log->Write("reservation_refused",
--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -268,6 +268,21 @@
   m_events->OnReserved(attempt, engine);
 }
 
+bool Reservations::IsRegisteredProcess(const UpstreamName& engine,
+                                       int64_t started_at_ms) const {
+  const RegisteredUpstream* upstream = m_board->upstreams.Find(engine);
+  if (upstream == nullptr || started_at_ms == 0) return true;
+  return upstream->started_at_ms == 0 ||
+         upstream->started_at_ms == started_at_ms;
+}
+
+void Reservations::RejectGrant(const ReserveGranted& grant,
+                               const UpstreamName& engine) {
+  m_board->log->Write("engine_restarted", {{"engine", engine.Value()}});
+  Cancel(grant.attempt, engine);
+  HandleRefusal({grant.attempt, ErrorKind::kNoUpstream, Duration(0)}, engine);
+}
+
 void Reservations::HandleRefusal(const AttemptRefused& refusal,
                                  const UpstreamName& engine) {
   ActiveReservation* active = m_active_reservations.Find(refusal.attempt);
@@ -417,6 +432,9 @@
     engine->reserved_since_report = Tokens(0);
     engine->queued_prefill = load.queued_prefill;
   } else if (const auto* granted = std::get_if<ReserveGranted>(&message)) {
+    if (!IsRegisteredProcess(name, granted->engine_started_at_ms)) {
+      return RejectGrant(*granted, name);
+    }
     AcceptGrant(granted->attempt, name);
   } else if (const auto* refused = std::get_if<AttemptRefused>(&message)) {
     HandleRefusal(*refused, name);
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -150,6 +150,12 @@
   void Cancel(const AttemptId& attempt, const UpstreamName& engine);
   // Ends the reservation with success. A further grant is cancelled.
   void AcceptGrant(const AttemptId& attempt, const UpstreamName& engine);
+  // Whether the engine's process that started then is the registered one. The
+  // registration may be of a former process with another software version.
+  bool IsRegisteredProcess(const UpstreamName& engine,
+                           int64_t started_at_ms) const;
+  // Gives the grant of a process that is not registered yet back.
+  void RejectGrant(const ReserveGranted& grant, const UpstreamName& engine);
   // Excludes the engine from this reservation.
   void HandleRefusal(const AttemptRefused& refusal, const UpstreamName& engine);
   // The engine on the VM of an agent.
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -129,6 +129,9 @@
 struct ReserveGranted {
   AttemptId attempt;
   EngineName engine;
+  // Agents with a registry only: when the process of the engine started, see
+  // RegisteredUpstream; zero if unknown.
+  int64_t engine_started_at_ms = 0;
 };
 
 // Agent to entry: the attempt has not run and will not run.
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -178,7 +178,8 @@
   void operator()(const burdockhill::ReserveGranted& m) {
     const Attempt a = ToWire(m.attempt);
     SetBody(Body::ReserveGranted,
-            CreateReserveGranted(b, &a, CreateText(b, m.engine)));
+            CreateReserveGranted(b, &a, CreateText(b, m.engine),
+                                 m.engine_started_at_ms));
   }
   void operator()(const burdockhill::AttemptRefused& m) {
     const Attempt a = ToWire(m.attempt);
@@ -438,7 +439,8 @@
 
 std::optional<Message> Decode(const ReserveGranted& m) {
   return burdockhill::ReserveGranted{FromWire(m.attempt()),
-                                     EngineName(ReadText(m.engine()))};
+                                     EngineName(ReadText(m.engine())),
+                                     m.engine_started_at_ms()};
 }
 
 std::optional<Message> Decode(const AttemptRefused& m) {
--- a/tests/gateway_test_peers.cc
+++ b/tests/gateway_test_peers.cc
@@ -294,7 +294,7 @@
   static std::string Report(const std::string& runs) {
     return HttpResponse(200, "",
                         R"({"stage":"decode","busy":false,"seq":0,"queued":0,
-          "active":0,"kvUsed":0,"kvTotal":100000,"runs":[)" +
+          "active":0,"kvUsed":0,"kvTotal":100000,"born":17,"runs":[)" +
                             runs + "]}");
   }
   // Answers the current poll with this list of runs.
@@ -350,6 +350,13 @@
   LONGS_EQUAL(3, CountSent<ReserveGranted>());
 }
 
+TEST(EngineAgent, GrantsTellWhichProcessOfTheEngineTheyAreOf) {
+  RequestDecode(1, seconds(20));
+  const auto* grant = std::get_if<ReserveGranted>(&m_peers.sent.back().second);
+  CHECK(grant != nullptr);
+  LONGS_EQUAL(17, grant->engine_started_at_ms);
+}
+
 TEST(EngineAgent, RefusesReservationsWhoseWaitIsOver) {
   for (uint32_t i = 1; i <= 3; ++i) RequestDecode(i, milliseconds(100));
   m_clock.Advance(milliseconds(120));
--- a/tests/gateway_test_software_versions.cc
+++ b/tests/gateway_test_software_versions.cc
@@ -602,3 +602,29 @@
   }
   CHECK(streams_by_service["plain"] >= 8 && streams_by_service["other"] >= 8);
 }
+
+TEST(SoftwareVersions, AnEngineThatRestartedUnderItsNameGetsNoStreamBefore) {
+  for (const char* name : {"e1", "e2"}) {
+    RegisteredUpstream engine = *m_board.upstreams.Find(UpstreamName(name));
+    engine.started_at_ms = 100;
+    ++engine.revision.number;
+    m_board.upstreams.ApplyUpdate(engine);
+  }
+  Post("/resume/x");
+  LONGS_EQUAL(1, Asked<ReserveDecode>().count("10.0.2.2"));
+  AttemptId attempt;
+  for (const auto& [agent, message] : m_peer_link.sent) {
+    const auto* request = std::get_if<ReserveDecode>(&message);
+    if (request != nullptr) attempt = request->attempt;
+  }
+  m_peer_link.sent.clear();
+  m_reservations.OnMessage(VmName("10.0.2.2"),
+                           ReserveGranted{attempt, EngineName("x"), 200});
+  LONGS_EQUAL(0, Asked<ReservePrefill>().size());
+  LONGS_EQUAL(1, Asked<CancelAttempt>().count("10.0.2.2"));
+  Tick();
+  LONGS_EQUAL(1, Asked<ReserveDecode>().count("10.0.2.3"));
+  m_reservations.OnMessage(VmName("10.0.2.3"),
+                           ReserveGranted{attempt, EngineName("x"), 100});
+  LONGS_EQUAL(1, Asked<ReservePrefill>().size());
+}
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -469,13 +469,15 @@
 TEST(EngineCodec, DecodesReports) {
   const auto report = m_codec.DecodeReport(
       R"({"stage":"prefill","busy":true,"seq":2,"queued":1,"active":12,
-          "kvUsed":41000,"kvTotal":90000,"runs":[["id",5000,3,5],["torn"]]})");
+          "kvUsed":41000,"kvTotal":90000,"runs":[["id",5000,3,5],["torn"]],
+          "born":1700000000000})");
   CHECK(report->role == EngineRole::kPrefill);
   CHECK(report->is_changing_role);
   LONGS_EQUAL(2, report->orders_accepted);
   LONGS_EQUAL(90000, report->kv_capacity.Value());
   LONGS_EQUAL(1, report->runs.size());
   CHECK(report->runs[0].request == HashRequestId("id"));
+  LONGS_EQUAL(1700000000000, report->started_at_ms);
   CHECK(!m_codec.DecodeReport("{}").has_value());
 }
 
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -63,7 +63,7 @@
       AttachAttempt{kAttempt, 8},
       CallService{kAttempt, ServiceName("s"), "POST", "/p", "t", "k", "b",
                   Duration(9)},
-      ReserveGranted{kAttempt, EngineName("e")},
+      ReserveGranted{kAttempt, EngineName("e"), 17},
       AttemptRefused{kAttempt, ErrorKind::kLeaving, Duration(4)},
       PrefillDone{kAttempt, "h", "s", Tokens(1), Tokens(2)},
       StreamChunk{kAttempt, 1, 2, "t", "stop"},
