A chunked answer that promised to keep its connection keeps it

What callers saw: the next request on a kept connection got no answer, during a planned stop.

Cause: the end of a chunked answer closed the connection if the stop had begun after its head, which had not said "Connection: close". The request that the caller sent on reading the end was read and discarded.

Evidence: AChunkedAnswerThatSaidKeepAliveKeepsItsConnection failed before: no answer.

Why it works: the end of the answer does what its head said. The next answer says "Connection: close", and the connection closes after it, or with the others that are idle.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -177,7 +177,9 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   m_sockets->Write(socket, kLastChunk);
-  FinishExchange(id, !connection->said_close && KeepsAlive(*connection));
+  // The caller may already have sent its next request if it was told that the
+  // connection stays open.
+  FinishExchange(id, !connection->said_close && !connection->input_ended);
 }
 
 void Server::Abort(ExchangeId id) {
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -108,3 +108,17 @@
   STRCMP_CONTAINS("Connection: close", response.c_str());
   CHECK(IsClosedUnread(idle));
 }
+
+TEST(ClosingConnections, AChunkedAnswerThatSaidKeepAliveKeepsItsConnection) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, kGet);
+  m_server.StartStream(m_responder.exchanges.back(), OkHead());
+  m_server.DisableKeepAlive();
+  m_server.EndStream(m_responder.exchanges.back());
+  m_sockets.DrainOutput(id);
+  m_responder.responds = true;
+  const std::string response = Send(id, kGet);
+  STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
+  STRCMP_CONTAINS("Connection: close", response.c_str());
+}
