Answers say for how long their connection is kept

What callers saw: requests on kept connections that closed at the same moment. A caller that has read a new, longer idle limit uses it at once; an entry that has not read it yet, or is paused, closes by the former one.

Cause: the idle limit was known to callers and entries from two sources, which differ for a while after each change of the configuration.

Why it works: each answer that keeps its connection has a Keep-Alive field with the idle timeout, and the connection is kept for that time and half a second more, whatever a later configuration says. Callers respect the field. A limit under one second is not announced, since the field counts whole seconds.

--- a/burdockhill/src/http/message.cc
+++ b/burdockhill/src/http/message.cc
@@ -155,7 +155,7 @@
 }
 
 std::string FormatResponse(const Head& head, std::optional<size_t> body_size,
-                           bool keep_alive) {
+                           const ConnectionNotice& notice) {
   std::string out = "HTTP/1.1 " + std::to_string(head.status) + " " +
                     ReasonPhrase(head.status) + "\r\n";
   AppendFields(head.headers, &out);
@@ -165,7 +165,14 @@
   } else {
     out.append("Transfer-Encoding: chunked\r\n");
   }
-  if (!keep_alive) out.append("Connection: close\r\n");
+  const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(notice.idle_timeout);
+  if (!notice.keep_alive) {
+    out.append("Connection: close\r\n");
+  } else if (seconds.count() > 0) {
+    out.append("Keep-Alive: timeout=").append(std::to_string(seconds.count()));
+    out.append(kCrlf);
+  }
   out.append(kCrlf);
   return out;
 }
--- a/burdockhill/src/http/message.h
+++ b/burdockhill/src/http/message.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "burdockhill/src/base/clock.h"
+
 namespace burdockhill::http {
 
 // Status codes that the router generates or handles specially.
@@ -90,11 +92,19 @@
 std::string FormatRequest(const Head& head, std::string_view host,
                           size_t body_size);
 
-// Formats the status line, the fields of `head` and the framing of the body:
-// Content-Length for `body_size` in bytes, or chunked for nullopt. Adds
-// "Connection: close" unless `keep_alive`.
+// What a response says of its connection.
+struct ConnectionNotice {
+  bool keep_alive = false;  // Else "Connection: close".
+  // For how long the connection is kept without a further request. Said in
+  // whole seconds, and only if there is at least one.
+  Duration idle_timeout{0};
+};
+
+// Formats the status line, the fields of `head`, the framing of the body
+// (Content-Length for `body_size` in bytes, or chunked for nullopt) and the
+// notice.
 std::string FormatResponse(const Head& head, std::optional<size_t> body_size,
-                           bool keep_alive);
+                           const ConnectionNotice& notice);
 
 std::string FormatChunk(std::string_view bytes);
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -9,6 +9,9 @@
 
 // Reading from a connection stops when more pipelined bytes are buffered.
 constexpr size_t kMaxPipelinedBytes = size_t{64} << 10;
+// The caller counts its idle time only from when it has read the response, and
+// its next request is under way for a time.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 // A connection is closed if its caller does not read a response for this time.
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
 
@@ -68,7 +71,14 @@
 
 void Server::StartWait(Connection* connection) const {
   connection->wait_start = m_clock->Now();
-  connection->idle_timeout = m_limits.idle_timeout;
+  connection->idle_timeout =
+      std::max(m_limits.idle_timeout, connection->said_idle_timeout);
+}
+
+ConnectionNotice Server::NoticeFor(Connection* connection,
+                                   bool keep_alive) const {
+  connection->said_idle_timeout = m_limits.idle_timeout;
+  return {keep_alive, m_limits.idle_timeout};
 }
 
 void Server::DispatchRequest(SocketId id, Connection* connection) {
@@ -114,7 +124,7 @@
   Head head;
   head.status = status;
   if (status == kUnavailable) head.headers.Add("Retry-After", "1");
-  m_sockets->Write(id, FormatResponse(head, 0, /*keep_alive=*/false));
+  m_sockets->Write(id, FormatResponse(head, 0, ConnectionNotice()));
   RemoveConnection(id);
   m_sockets->CloseGracefully(id);
 }
@@ -150,7 +160,8 @@
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
   const bool keep_alive = KeepsAlive(*connection);
-  std::string bytes = FormatResponse(head, body.size(), keep_alive);
+  std::string bytes =
+      FormatResponse(head, body.size(), NoticeFor(connection, keep_alive));
   if (connection->reader.MessageHead().method != "HEAD") bytes.append(body);
   m_sockets->Write(socket, bytes);
   FinishExchange(id, keep_alive);
@@ -163,7 +174,8 @@
   const bool keep_alive = KeepsAlive(*connection);
   connection->is_streaming = true;
   connection->said_close = !keep_alive;
-  m_sockets->Write(socket, FormatResponse(head, std::nullopt, keep_alive));
+  m_sockets->Write(socket, FormatResponse(head, std::nullopt,
+                                          NoticeFor(connection, keep_alive)));
 }
 
 void Server::WriteStream(ExchangeId id, std::string_view bytes) {
@@ -266,9 +278,10 @@
     if (connection.exchange.IsValid()) continue;
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
-    Duration limit =
-        reading_head ? m_limits.header_timeout
-                     : std::max(m_limits.idle_timeout, connection.idle_timeout);
+    Duration limit = reading_head ? m_limits.header_timeout
+                                  : std::max(m_limits.idle_timeout,
+                                             connection.idle_timeout) +
+                                        kIdleMargin;
     if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -98,8 +98,10 @@
     MessageReader reader;
     std::string pipelined;  // Bytes received after the current request.
     ExchangeId exchange;
-    TimePoint wait_start{};     // Start of the current wait for input.
-    Duration idle_timeout{};    // The limit when that wait began.
+    TimePoint wait_start{};   // Start of the current wait for input.
+    Duration idle_timeout{};  // The limit when that wait began.
+    // The idle timeout that the latest response has announced.
+    Duration said_idle_timeout{};
     size_t body_bytes = 0;      // Share of m_total_body_bytes.
     bool input_ended = false;   // The caller has closed its sending side.
     bool is_streaming = false;  // The response has started as a stream.
@@ -117,6 +119,8 @@
   void ProcessInput(SocketId id, std::string_view bytes);
   // Input is awaited from now on.
   void StartWait(Connection* connection) const;
+  // What the response that begins now says of its connection.
+  ConnectionNotice NoticeFor(Connection* connection, bool keep_alive) const;
   void DispatchRequest(SocketId id, Connection* connection);
   void Reject(SocketId id, int status);
   // Closes a connection without a request, and reads nothing more from it.
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -122,3 +122,36 @@
   STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
   STRCMP_CONTAINS("Connection: close", response.c_str());
 }
+
+TEST(ClosingConnections, AnAnswerSaysForHowLongItsConnectionIsKept) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  STRCMP_CONTAINS("Keep-Alive: timeout=10\r\n", Send(id, kGet).c_str());
+  AdvanceTime(seconds(10));
+  STRCMP_CONTAINS("HTTP/1.1 200", Send(id, kGet).c_str());
+}
+
+TEST(ClosingConnections, AConnectionThatClosesIsNotSaidToBeKept) {
+  const SocketId closing = m_sockets.ConnectAsCaller(kCallers);
+  const std::string last = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+  CHECK(Send(closing, last).find("Keep-Alive") == std::string::npos);
+  m_limits.idle_timeout = milliseconds(700);
+  m_server.SetLimits(m_limits);
+  const SocketId brief = m_sockets.ConnectAsCaller(kCallers);
+  CHECK(Send(brief, kGet).find("Keep-Alive") == std::string::npos);
+}
+
+TEST(ClosingConnections, AStreamKeepsItsConnectionForAsLongAsItsHeadSaid) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, kGet);
+  m_server.StartStream(m_responder.exchanges.back(), OkHead());
+  STRCMP_CONTAINS("Keep-Alive: timeout=10\r\n",
+                  m_sockets.DrainOutput(id).c_str());
+  m_limits.idle_timeout = seconds(2);
+  m_server.SetLimits(m_limits);
+  m_server.EndStream(m_responder.exchanges.back());
+  AdvanceTime(seconds(9));
+  m_sockets.DrainOutput(id);
+  m_responder.responds = true;
+  STRCMP_CONTAINS("HTTP/1.1 200", Send(id, kGet).c_str());
+}
