A changed limit of callers holds for requests that begin under it

What callers saw: beside a change of the limits, a 413 or 408 for a request whose body or head was arriving already; and a 431 on connections that were open before the limit of heads was raised, for as long as they stayed open.

Cause: a lower limit acted at once on what had begun under the former one, and the limit of heads was fixed when the connection was accepted.

Evidence: ARequestIsHeldToNoLowerLimitThanWhenItBegan failed before with 413, ARaisedLimitHoldsAtOnceOnKeptConnections with 431.

Why it works: a connection keeps the limits that held when its request, or the wait for it, began. The higher of these and of the current ones applies.

--- a/burdockhill/src/http/message_reader.cc
+++ b/burdockhill/src/http/message_reader.cc
@@ -212,6 +212,10 @@
 
 void MessageReader::ExpectNoBody() { m_state->expects_no_body = true; }
 
+void MessageReader::SetMaxHeaderBytes(size_t bytes) {
+  m_state->max_header_bytes = bytes;
+}
+
 void MessageReader::Reset() {
   m_state->expects_no_body = false;
   m_state->body.clear();
--- a/burdockhill/src/http/message_reader.h
+++ b/burdockhill/src/http/message_reader.h
@@ -37,6 +37,9 @@
   // Declares that the current response has no body, as after a HEAD request.
   void ExpectNoBody();
 
+  // Limits the header of the current message and of later ones.
+  void SetMaxHeaderBytes(size_t bytes);
+
   // Prepares for the next message, after a complete one or before the first.
   void Reset();
 
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -44,6 +44,8 @@
   MessageReader& reader = connection->reader;
   const bool had_head = reader.HasHead();
   if (!reader.HasStarted() || had_head) StartWait(connection);
+  const ServerLimits limits = LimitsOf(*connection);
+  reader.SetMaxHeaderBytes(limits.max_header_bytes);
   const size_t consumed = reader.Consume(bytes);
   if (reader.Error() == ReadError::kHeaderTooLarge) {
     return Reject(id, kHeaderTooLarge);
@@ -52,8 +54,8 @@
   if (!reader.HasHead()) return;
   const Head& head = reader.MessageHead();
   const bool declared_too_large =
-      head.content_length.value_or(0) > m_limits.max_body_bytes;
-  if (declared_too_large || reader.Body().size() > m_limits.max_body_bytes) {
+      head.content_length.value_or(0) > limits.max_body_bytes;
+  if (declared_too_large || reader.Body().size() > limits.max_body_bytes) {
     return Reject(id, kBodyTooLarge);
   }
   SetBodyBytes(connection, reader.Body().size());
@@ -71,10 +73,23 @@
 
 void Server::StartWait(Connection* connection) const {
   connection->wait_start = m_clock->Now();
-  connection->idle_timeout =
+  if (connection->reader.HasStarted()) return;
+  connection->limits = m_limits;
+  connection->limits.idle_timeout =
       std::max(m_limits.idle_timeout, connection->said_idle_timeout);
 }
 
+ServerLimits Server::LimitsOf(const Connection& connection) const {
+  const ServerLimits& then = connection.limits;
+  ServerLimits limits = m_limits;
+  limits.max_header_bytes =
+      std::max(limits.max_header_bytes, then.max_header_bytes);
+  limits.max_body_bytes = std::max(limits.max_body_bytes, then.max_body_bytes);
+  limits.header_timeout = std::max(limits.header_timeout, then.header_timeout);
+  limits.idle_timeout = std::max(limits.idle_timeout, then.idle_timeout);
+  return limits;
+}
+
 ConnectionNotice Server::NoticeFor(Connection* connection,
                                    bool keep_alive) const {
   connection->said_idle_timeout = m_limits.idle_timeout;
@@ -278,10 +293,9 @@
     if (connection.exchange.IsValid()) continue;
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
-    Duration limit = reading_head ? m_limits.header_timeout
-                                  : std::max(m_limits.idle_timeout,
-                                             connection.idle_timeout) +
-                                        kIdleMargin;
+    const ServerLimits limits = LimitsOf(connection);
+    Duration limit = reading_head ? limits.header_timeout
+                                  : limits.idle_timeout + kIdleMargin;
     if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -53,9 +53,9 @@
 
   // Throws std::runtime_error if the address cannot be listened on.
   void Listen(const Address& address) { m_sockets->Listen(address, this); }
-  // The header size limit applies to connections that are accepted afterwards,
-  // and a shorter idle timeout to waits that begin afterwards: a caller may
-  // count on the time that held when it got its last response.
+  // A higher limit applies at once. A lower one applies to requests and waits
+  // that begin afterwards: a caller may count on the limits that held when it
+  // began to send or got its last response.
   void SetLimits(const ServerLimits& limits) { m_limits = limits; }
   // Closes each connection after its current or next response, once it has no
   // pipelined requests.
@@ -98,8 +98,9 @@
     MessageReader reader;
     std::string pipelined;  // Bytes received after the current request.
     ExchangeId exchange;
-    TimePoint wait_start{};   // Start of the current wait for input.
-    Duration idle_timeout{};  // The limit when that wait began.
+    TimePoint wait_start{};  // Start of the current wait for input.
+    // When the wait for the current request began, or the request itself.
+    ServerLimits limits;
     // The idle timeout that the latest response has announced.
     Duration said_idle_timeout{};
     size_t body_bytes = 0;      // Share of m_total_body_bytes.
@@ -119,6 +120,8 @@
   void ProcessInput(SocketId id, std::string_view bytes);
   // Input is awaited from now on.
   void StartWait(Connection* connection) const;
+  // The limits that hold for the current wait or request.
+  ServerLimits LimitsOf(const Connection& connection) const;
   // What the response that begins now says of its connection.
   ConnectionNotice NoticeFor(Connection* connection, bool keep_alive) const;
   void DispatchRequest(SocketId id, Connection* connection);
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -155,3 +155,36 @@
   m_responder.responds = true;
   STRCMP_CONTAINS("HTTP/1.1 200", Send(id, kGet).c_str());
 }
+
+TEST(ClosingConnections, ARequestIsHeldToNoLowerLimitThanWhenItBegan) {
+  const std::string head = "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n";
+  const SocketId body = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(body, head);
+  const SocketId started = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(started, head.substr(0, 10));
+  m_limits.max_body_bytes = 50;
+  m_limits.header_timeout = milliseconds(100);
+  m_limits.max_header_bytes = 10;
+  m_server.SetLimits(m_limits);
+  AdvanceTime(seconds(1));
+  const std::string rest(100, 'x');
+  STRCMP_CONTAINS("HTTP/1.1 200", Send(body, rest).c_str());
+  STRCMP_CONTAINS("HTTP/1.1 200",
+                  Send(started, head.substr(10) + rest).c_str());
+  STRCMP_CONTAINS("HTTP/1.1 431", Send(body, head + rest).c_str());
+}
+
+TEST(ClosingConnections, ARaisedLimitHoldsAtOnceOnKeptConnections) {
+  m_limits.max_header_bytes = 100;
+  m_limits.max_body_bytes = 10;
+  m_server.SetLimits(m_limits);
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  Send(id, kGet);
+  m_limits.max_header_bytes = 1000;
+  m_limits.max_body_bytes = 100;
+  m_server.SetLimits(m_limits);
+  const std::string request =
+      "POST / HTTP/1.1\r\nX-Long: " + std::string(200, 'x') +
+      "\r\nContent-Length: 50\r\n\r\n" + std::string(50, 'x');
+  STRCMP_CONTAINS("HTTP/1.1 200", Send(id, request).c_str());
+}
