Pipelined requests of a caller that has finished sending are answered

What callers saw: of two requests in one go on a connection whose sending side was then closed, the second got neither an answer nor a refusal.

Cause: a connection whose caller had finished sending was closed after its current answer, with the requests that were already read behind it. The same class as the requests that meet an idle close: read on a connection that closes, and dropped.

Evidence: PipelinedRequestsOfAHalfClosedCallerAreAnswered failed before: one request of two was passed on.

Why it works: the connection closes once nothing complete is left in what was read.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -206,7 +206,7 @@
   m_sockets->Write(socket, kLastChunk);
   // The caller may already have sent its next request if it was told that the
   // connection stays open.
-  FinishExchange(id, !connection->said_close && !connection->input_ended);
+  FinishExchange(id, !connection->said_close);
 }
 
 void Server::Abort(ExchangeId id) {
@@ -234,6 +234,11 @@
   m_sockets->SetReading(socket, true);
   const std::string pipelined = std::exchange(connection->pipelined, {});
   if (!pipelined.empty()) ProcessInput(socket, pipelined);
+  connection = m_connections.Find(socket);
+  if (connection == nullptr || connection->exchange.IsValid()) return;
+  if (!connection->input_ended) return;
+  RemoveConnection(socket);
+  m_sockets->CloseGracefully(socket);
 }
 
 size_t Server::PendingBytes(ExchangeId id) const {
@@ -264,9 +269,9 @@
 }
 
 bool Server::KeepsAlive(const Connection& connection) const {
-  const bool may_close = m_keep_alive_disabled && connection.pipelined.empty();
-  return connection.reader.MessageHead().keep_alive &&
-         !connection.input_ended && !may_close;
+  const bool may_close = (m_keep_alive_disabled || connection.input_ended) &&
+                         connection.pipelined.empty();
+  return connection.reader.MessageHead().keep_alive && !may_close;
 }
 
 void Server::RefuseUnfinishedRequests() {
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -188,3 +188,25 @@
       "\r\nContent-Length: 50\r\n\r\n" + std::string(50, 'x');
   STRCMP_CONTAINS("HTTP/1.1 200", Send(id, request).c_str());
 }
+
+TEST(ClosingConnections, PipelinedRequestsOfAHalfClosedCallerAreAnswered) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, std::string(kGet) + kGet);
+  m_sockets.InjectEndOfInput(id);
+  for (int i = 0; i < 2; ++i) {
+    m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
+    STRCMP_CONTAINS("HTTP/1.1 200", m_sockets.DrainOutput(id).c_str());
+  }
+  LONGS_EQUAL(2, m_responder.exchanges.size());
+  CHECK(m_sockets.GetConnection(id).closed_gracefully);
+}
+
+TEST(ClosingConnections, APartOfARequestOfAHalfClosedCallerIsNotAwaited) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, std::string(kGet) + "GET / HT");
+  m_sockets.InjectEndOfInput(id);
+  m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
+  CHECK(m_sockets.GetConnection(id).closed_gracefully);
+}
