--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -9,6 +9,9 @@
 
 // Reading from a connection stops when more pipelined bytes are buffered.
 constexpr size_t kMaxPipelinedBytes = size_t{64} << 10;
+// The caller counts its idle time only from when it has read the response, and
+// its next request is under way for a time.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 // A connection is closed if its caller does not read a response for this time.
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
 
@@ -41,6 +44,8 @@
   MessageReader& reader = connection->reader;
   const bool had_head = reader.HasHead();
   if (!reader.HasStarted() || had_head) StartWait(connection);
+  const ServerLimits limits = LimitsOf(*connection);
+  reader.SetMaxHeaderBytes(limits.max_header_bytes);
   const size_t consumed = reader.Consume(bytes);
   if (reader.Error() == ReadError::kHeaderTooLarge) {
     return Reject(id, kHeaderTooLarge);
@@ -49,8 +54,8 @@
   if (!reader.HasHead()) return;
   const Head& head = reader.MessageHead();
   const bool declared_too_large =
-      head.content_length.value_or(0) > m_limits.max_body_bytes;
-  if (declared_too_large || reader.Body().size() > m_limits.max_body_bytes) {
+      head.content_length.value_or(0) > limits.max_body_bytes;
+  if (declared_too_large || reader.Body().size() > limits.max_body_bytes) {
     return Reject(id, kBodyTooLarge);
   }
   SetBodyBytes(connection, reader.Body().size());
@@ -68,7 +73,27 @@
 
 void Server::StartWait(Connection* connection) const {
   connection->wait_start = m_clock->Now();
-  connection->idle_timeout = m_limits.idle_timeout;
+  if (connection->reader.HasStarted()) return;
+  connection->limits = m_limits;
+  connection->limits.idle_timeout =
+      std::max(m_limits.idle_timeout, connection->said_idle_timeout);
+}
+
+ServerLimits Server::LimitsOf(const Connection& connection) const {
+  const ServerLimits& then = connection.limits;
+  ServerLimits limits = m_limits;
+  limits.max_header_bytes =
+      std::max(limits.max_header_bytes, then.max_header_bytes);
+  limits.max_body_bytes = std::max(limits.max_body_bytes, then.max_body_bytes);
+  limits.header_timeout = std::max(limits.header_timeout, then.header_timeout);
+  limits.idle_timeout = std::max(limits.idle_timeout, then.idle_timeout);
+  return limits;
+}
+
+ConnectionNotice Server::NoticeFor(Connection* connection,
+                                   bool keep_alive) const {
+  connection->said_idle_timeout = m_limits.idle_timeout;
+  return {keep_alive, m_limits.idle_timeout};
 }
 
 void Server::DispatchRequest(SocketId id, Connection* connection) {
@@ -114,7 +139,7 @@
   Head head;
   head.status = status;
   if (status == kUnavailable) head.headers.Add("Retry-After", "1");
-  m_sockets->Write(id, FormatResponse(head, 0, /*keep_alive=*/false));
+  m_sockets->Write(id, FormatResponse(head, 0, ConnectionNotice()));
   RemoveConnection(id);
   m_sockets->CloseGracefully(id);
 }
@@ -150,7 +175,8 @@
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
   const bool keep_alive = KeepsAlive(*connection);
-  std::string bytes = FormatResponse(head, body.size(), keep_alive);
+  std::string bytes =
+      FormatResponse(head, body.size(), NoticeFor(connection, keep_alive));
   if (connection->reader.MessageHead().method != "HEAD") bytes.append(body);
   m_sockets->Write(socket, bytes);
   FinishExchange(id, keep_alive);
@@ -163,7 +189,8 @@
   const bool keep_alive = KeepsAlive(*connection);
   connection->is_streaming = true;
   connection->said_close = !keep_alive;
-  m_sockets->Write(socket, FormatResponse(head, std::nullopt, keep_alive));
+  m_sockets->Write(socket, FormatResponse(head, std::nullopt,
+                                          NoticeFor(connection, keep_alive)));
 }
 
 void Server::WriteStream(ExchangeId id, std::string_view bytes) {
@@ -177,7 +204,9 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   m_sockets->Write(socket, kLastChunk);
-  FinishExchange(id, !connection->said_close && KeepsAlive(*connection));
+  // The caller may already have sent its next request if it was told that the
+  // connection stays open.
+  FinishExchange(id, !connection->said_close);
 }
 
 void Server::Abort(ExchangeId id) {
@@ -205,6 +234,11 @@
   m_sockets->SetReading(socket, true);
   const std::string pipelined = std::exchange(connection->pipelined, {});
   if (!pipelined.empty()) ProcessInput(socket, pipelined);
+  connection = m_connections.Find(socket);
+  if (connection == nullptr || connection->exchange.IsValid()) return;
+  if (!connection->input_ended) return;
+  RemoveConnection(socket);
+  m_sockets->CloseGracefully(socket);
 }
 
 size_t Server::PendingBytes(ExchangeId id) const {
@@ -219,16 +253,25 @@
       idle.push_back(id);
     }
   }
-  for (const SocketId id : idle) {
-    RemoveConnection(id);
-    m_sockets->CloseGracefully(id);
-  }
+  for (const SocketId id : idle) CloseUnlessInputArrived(id);
+}
+
+void Server::CloseUnlessInputArrived(SocketId id) {
+  const Connection* connection = m_connections.Find(id);
+  const Duration idle_time = m_clock->Now() - connection->wait_start;
+  const bool closes = !m_sockets->HasUnreadInput(id);
+  m_events->OnIdleConnection(idle_time, closes);
+  if (!closes) return;
+  RemoveConnection(id);
+  // A request that crosses the close stays unread, which tells its caller that
+  // it was not taken.
+  m_sockets->Close(id, /*reset=*/false);
 }
 
 bool Server::KeepsAlive(const Connection& connection) const {
-  const bool may_close = m_keep_alive_disabled && connection.pipelined.empty();
-  return connection.reader.MessageHead().keep_alive &&
-         !connection.input_ended && !may_close;
+  const bool may_close = (m_keep_alive_disabled || connection.input_ended) &&
+                         connection.pipelined.empty();
+  return connection.reader.MessageHead().keep_alive && !may_close;
 }
 
 void Server::RefuseUnfinishedRequests() {
@@ -255,18 +298,17 @@
     if (connection.exchange.IsValid()) continue;
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
-    Duration limit =
-        reading_head ? m_limits.header_timeout
-                     : std::max(m_limits.idle_timeout, connection.idle_timeout);
+    const ServerLimits limits = LimitsOf(connection);
+    Duration limit = reading_head ? limits.header_timeout
+                                  : limits.idle_timeout + kIdleMargin;
     if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
   }
-  for (const SocketId id : slow) Reject(id, kRequestTimeout);
-  for (const SocketId id : idle) {
-    RemoveConnection(id);
-    m_sockets->CloseGracefully(id);
+  for (const SocketId id : slow) {
+    if (!m_sockets->HasUnreadInput(id)) Reject(id, kRequestTimeout);
   }
+  for (const SocketId id : idle) CloseUnlessInputArrived(id);
 }
 
 }  // namespace burdockhill::http
