A planned stop does not cut answers that are being sent

What callers would have seen: the end of an answer missing, if it was still being sent when a planned stop closed the idle connections.

Cause: a connection whose answer is complete but not sent counts as idle.

Evidence: AnAnswerOnItsWayIsNotCutOffByAPlannedStop failed before: the connection was closed with 100 bytes unsent.

Why it works: a connection with unsent bytes stays open; its next answer says "Connection: close".

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -249,9 +249,10 @@
 void Server::CloseIdleConnections() {
   std::vector<SocketId> idle;
   for (const auto& [id, connection] : m_connections) {
-    if (!connection.exchange.IsValid() && !connection.reader.HasStarted()) {
-      idle.push_back(id);
-    }
+    const bool waits =
+        !connection.exchange.IsValid() && !connection.reader.HasStarted();
+    // The close would discard the rest of an answer.
+    if (waits && m_sockets->PendingBytes(id) == 0) idle.push_back(id);
   }
   for (const SocketId id : idle) CloseUnlessInputArrived(id);
 }
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -60,8 +60,8 @@
   // Closes each connection after its current or next response, once it has no
   // pipelined requests.
   void DisableKeepAlive() { m_keep_alive_disabled = true; }
-  // Closes the connections that have no request in progress, and none that
-  // waits to be read.
+  // Closes the connections that have no request in progress, none that waits to
+  // be read, and no unsent bytes of an answer.
   void CloseIdleConnections();
   // Answers the requests that have only been received in part with 503, and
   // closes their connections.
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -210,3 +210,14 @@
   m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
   CHECK(m_sockets.GetConnection(id).closed_gracefully);
 }
+
+TEST(ClosingConnections, AnAnswerOnItsWayIsNotCutOffByAPlannedStop) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  Send(id, kGet);
+  m_sockets.SetPendingBytes(id, 100);
+  m_server.DisableKeepAlive();
+  m_server.CloseIdleConnections();
+  CHECK(m_sockets.GetConnection(id).open);
+  m_sockets.SetPendingBytes(id, 0);
+  STRCMP_CONTAINS("HTTP/1.1 200", Send(id, kGet).c_str());
+}
