An answer that is read slowly is not cut after a minute

What callers would have seen: the end of a long answer missing, if they took longer than a minute to read it.

Cause: a minute after an answer was written its connection is closed if bytes are still unsent, even if the caller reads.

Evidence: AnAnswerThatIsReadSlowlyIsNotCut failed before: the connection was closed 50 s after the last bytes had been taken.

Why it works: the minute begins anew when unsent bytes have become fewer. Only what a caller does not read at all for a minute is discarded.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -12,7 +12,8 @@
 // The caller counts its idle time only from when it has read the response, and
 // its next request is under way for a time.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
-// A connection is closed if its caller does not read a response for this time.
+// A connection is closed if its caller reads nothing of a response for this
+// time.
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
 
 }  // namespace
@@ -295,14 +296,17 @@
 void Server::CheckTimeouts(TimePoint now) {
   std::vector<SocketId> idle;
   std::vector<SocketId> slow;
-  for (const auto& [id, connection] : m_connections) {
+  for (auto& [id, connection] : m_connections) {
     if (connection.exchange.IsValid()) continue;
+    const size_t unsent = m_sockets->PendingBytes(id);
+    const size_t unsent_before = std::exchange(connection.unsent_bytes, unsent);
+    if (unsent > 0 && unsent < unsent_before) connection.wait_start = now;
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
     const ServerLimits limits = LimitsOf(connection);
     Duration limit = reading_head ? limits.header_timeout
                                   : limits.idle_timeout + kIdleMargin;
-    if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
+    if (unsent > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
   }
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -103,6 +103,7 @@
     ServerLimits limits;
     // The idle timeout that the latest response has announced.
     Duration said_idle_timeout{};
+    size_t unsent_bytes = 0;    // At the last check of the time limits.
     size_t body_bytes = 0;      // Share of m_total_body_bytes.
     bool input_ended = false;   // The caller has closed its sending side.
     bool is_streaming = false;  // The response has started as a stream.
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -221,3 +221,17 @@
   m_sockets.SetPendingBytes(id, 0);
   STRCMP_CONTAINS("HTTP/1.1 200", Send(id, kGet).c_str());
 }
+
+TEST(ClosingConnections, AnAnswerThatIsReadSlowlyIsNotCut) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  Send(id, kGet);
+  m_sockets.SetPendingBytes(id, 1000);
+  AdvanceTime(seconds(50));
+  m_sockets.SetPendingBytes(id, 500);
+  AdvanceTime(seconds(50));
+  CHECK(m_sockets.GetConnection(id).open);
+  AdvanceTime(seconds(59));
+  CHECK(m_sockets.GetConnection(id).open);
+  AdvanceTime(seconds(2));
+  CHECK(!m_sockets.GetConnection(id).open);
+}
