A test that what crosses a close is not read, and its sender is reset

libwebsockets closes a descriptor only in the next iteration of the loop. The test shows on loopback that nothing is read in between.

--- a/tests/transport_test_tcp_sockets.cc
+++ b/tests/transport_test_tcp_sockets.cc
@@ -24,11 +24,14 @@
     accepted = id;
     return this;
   }
-  void OnBytes(SocketId, std::string_view) override {}
+  void OnBytes(SocketId, std::string_view bytes) override {
+    received += bytes.size();
+  }
   void OnEndOfInput(SocketId) override {}
   void OnFailed(SocketId) override { failed = true; }
 
   SocketId accepted;
+  size_t received = 0;
   bool failed = false;
 };
 
@@ -153,3 +156,13 @@
   shutdown(m_client, SHUT_WR);
   CHECK(!m_sockets.HasUnreadInput(m_acceptor.accepted));
 }
+
+TEST(TcpSockets, WhatCrossesACloseIsNotReadAndItsSenderIsReset) {
+  m_sockets.Close(m_acceptor.accepted, /*reset=*/false);
+  LONGS_EQUAL(1, send(m_client, "x", 1, 0));
+  Pause(std::chrono::milliseconds(50));
+  LONGS_EQUAL(0, m_acceptor.received);
+  char byte = 0;
+  LONGS_EQUAL(-1, recv(m_client, &byte, 1, MSG_DONTWAIT));
+  LONGS_EQUAL(ECONNRESET, errno);
+}
