A pipelined request that waits unread in a stop is answered

What callers saw: during a planned stop, of two requests in one go the second got neither an answer nor a refusal, only "Connection: close" in the answer before it.

Cause: an answer says "Connection: close" unless a further request has been read. One that had arrived and was not read yet was read after the close and discarded.

Evidence: APipelinedRequestThatWaitsUnreadInAStopIsAnswered failed before: no answer.

Why it works: the socket is asked whether input waits, as before other closes.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -175,7 +175,7 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
-  const bool keep_alive = KeepsAlive(*connection);
+  const bool keep_alive = KeepsAlive(socket, *connection);
   std::string bytes =
       FormatResponse(head, body.size(), NoticeFor(connection, keep_alive));
   if (connection->reader.MessageHead().method != "HEAD") bytes.append(body);
@@ -187,7 +187,7 @@
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
-  const bool keep_alive = KeepsAlive(*connection);
+  const bool keep_alive = KeepsAlive(socket, *connection);
   connection->is_streaming = true;
   connection->said_close = !keep_alive;
   m_sockets->Write(socket, FormatResponse(head, std::nullopt,
@@ -270,10 +270,10 @@
   m_sockets->Close(id, /*reset=*/false);
 }
 
-bool Server::KeepsAlive(const Connection& connection) const {
-  const bool may_close = (m_keep_alive_disabled || connection.input_ended) &&
-                         connection.pipelined.empty();
-  return connection.reader.MessageHead().keep_alive && !may_close;
+bool Server::KeepsAlive(SocketId id, const Connection& connection) const {
+  if (!connection.reader.MessageHead().keep_alive) return false;
+  if (!m_keep_alive_disabled && !connection.input_ended) return true;
+  return !connection.pipelined.empty() || m_sockets->HasUnreadInput(id);
 }
 
 void Server::RefuseUnfinishedRequests() {
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -136,7 +136,7 @@
   void RemoveConnection(SocketId id);
   static bool IsReceiving(const Connection& connection);
   // Whether the connection stays open after its current response.
-  bool KeepsAlive(const Connection& connection) const;
+  bool KeepsAlive(SocketId id, const Connection& connection) const;
   Connection* FindConnection(ExchangeId id, SocketId* socket);
   const Connection* FindConnection(ExchangeId id) const;
 
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -235,3 +235,18 @@
   AdvanceTime(seconds(2));
   CHECK(!m_sockets.GetConnection(id).open);
 }
+
+TEST(ClosingConnections, APipelinedRequestThatWaitsUnreadInAStopIsAnswered) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, kGet);
+  m_server.DisableKeepAlive();
+  m_sockets.QueueInput(id, kGet);
+  m_responder.responds = true;
+  m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
+  m_sockets.DrainOutput(id);
+  m_sockets.ReadInput(id);
+  const std::string response = m_sockets.DrainOutput(id);
+  STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
+  STRCMP_CONTAINS("Connection: close", response.c_str());
+}
