A slow head is refused although bytes keep arriving

What callers would have seen: nothing; the limit for heads did not hold for a caller that had a byte waiting at each check, up to the limit of the size of heads.

Cause: since a request whose time is over is not refused while input waits unread, however often that is so.

Evidence: ASlowHeadIsRefusedAlthoughBytesKeepArriving failed before: no 408.

Why it works: what has arrived is read within half a second after the limit was first found to be over; then the request is refused.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -12,6 +12,8 @@
 // The caller counts its idle time only from when it has read the response, and
 // its next request is under way for a time.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+// What has arrived within a time limit is read within this time after it.
+constexpr Duration kLateReadTime = std::chrono::milliseconds(500);
 // A connection is closed if its caller reads nothing of a response for this
 // time.
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
@@ -270,6 +272,15 @@
   m_sockets->Close(id, /*reset=*/false);
 }
 
+bool Server::MayReadLate(SocketId id, TimePoint now) {
+  if (!m_sockets->HasUnreadInput(id)) return false;
+  Connection* connection = m_connections.Find(id);
+  if (connection->late_since <= connection->wait_start) {
+    connection->late_since = now;
+  }
+  return now - connection->late_since <= kLateReadTime;
+}
+
 bool Server::KeepsAlive(SocketId id, const Connection& connection) const {
   if (!connection.reader.MessageHead().keep_alive) return false;
   if (!m_keep_alive_disabled && !connection.input_ended) return true;
@@ -311,7 +322,7 @@
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
   }
   for (const SocketId id : slow) {
-    if (!m_sockets->HasUnreadInput(id)) Reject(id, kRequestTimeout);
+    if (!MayReadLate(id, now)) Reject(id, kRequestTimeout);
   }
   for (const SocketId id : idle) CloseUnlessInputArrived(id);
 }
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -99,6 +99,8 @@
     std::string pipelined;  // Bytes received after the current request.
     ExchangeId exchange;
     TimePoint wait_start{};  // Start of the current wait for input.
+    // When unread input was first found after the time limit of a wait.
+    TimePoint late_since{};
     // When the wait for the current request began, or the request itself.
     ServerLimits limits;
     // The idle timeout that the latest response has announced.
@@ -127,6 +129,9 @@
   ConnectionNotice NoticeFor(Connection* connection, bool keep_alive) const;
   void DispatchRequest(SocketId id, Connection* connection);
   void Reject(SocketId id, int status);
+  // Whether the rest of a request has arrived and is still to be read, although
+  // its time limit is over.
+  bool MayReadLate(SocketId id, TimePoint now);
   // Closes a connection without a request, and reads nothing more from it.
   void CloseUnlessInputArrived(SocketId id);
   void SetBodyBytes(Connection* connection, size_t bytes);
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -250,3 +250,14 @@
   STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
   STRCMP_CONTAINS("Connection: close", response.c_str());
 }
+
+TEST(ClosingConnections, ASlowHeadIsRefusedAlthoughBytesKeepArriving) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, "GET /");
+  for (int i = 0; i < 100; ++i) {
+    m_sockets.QueueInput(id, "x");
+    AdvanceTime(milliseconds(50));
+    m_sockets.ReadInput(id);
+  }
+  STRCMP_CONTAINS("HTTP/1.1 408", m_sockets.DrainOutput(id).c_str());
+}
