An answer that arrived within the time limit of a call is read after a pause

What callers would have seen: on the own path, an agent that stood still for longer than the time limit of a call to an engine took the engine's answer for missing, although it had arrived.

Cause: timers run before the reads of the same turn of the loop, and the time limit was checked without a look at the socket.

Evidence: AResponseThatArrivedBeforeTheTimeoutIsReadAfterAPause failed before: the call ended as broken.

Why it works: when the limit is over and input waits unread, the call gets a short time to read it, once.

--- a/burdockhill/src/http/http_client.cc
+++ b/burdockhill/src/http/http_client.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::seconds(3);
+// What has arrived within the time limit of a call is read within this time.
+constexpr Duration kLateReadTime = std::chrono::milliseconds(50);
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
 constexpr std::string_view kHeadMethod = "HEAD";
 
@@ -24,6 +26,7 @@
                              kMaxResponseHeaderBytes};
   bool connected = false;
   bool head_reported = false;
+  bool reads_late = false;  // The time limit is over.
 };
 
 std::string Format(const ClientRequest& request) {
@@ -67,7 +70,16 @@
  private:
   void SetTimer(ClientCallId id, Call* call, Duration delay) {
     m_loop->CancelTimer(call->timer);
-    call->timer = m_loop->CallAfter(delay, [this, id] { Fail(id); });
+    call->timer = m_loop->CallAfter(delay, [this, id] { OnTimeout(id); });
+  }
+
+  void OnTimeout(ClientCallId id) {
+    Call* call = m_calls.Find(id);
+    if (call == nullptr) return;
+    const bool may_read =
+        call->connected && m_sockets.HasUnreadInput(call->socket);
+    if (!may_read || std::exchange(call->reads_late, true)) return Fail(id);
+    SetTimer(id, call, kLateReadTime);
   }
 
   // Returns the callbacks of the removed call.
--- a/tests/http_test_sockets.cc
+++ b/tests/http_test_sockets.cc
@@ -120,6 +120,24 @@
   STRCMP_EQUAL("done", next.body.c_str());
 }
 
+TEST(HttpClient, AResponseThatArrivedBeforeTheTimeoutIsReadAfterAPause) {
+  RawServer server(kPort);
+  FetchResult result;
+  ClientRequest request;
+  request.address = {"127.0.0.1", kPort};
+  request.timeout = std::chrono::seconds(1);
+  FetchResponse(&client, std::move(request),
+                [&](CallEnd end, int status, std::string body) {
+                  result = {true, end, status, std::move(body)};
+                });
+  server.AnswerDuringPause(&loop,
+                           "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+                           std::chrono::milliseconds(1200));
+  RunUntil(&loop, [&] { return result.done; });
+  CHECK(result.end == CallEnd::kComplete);
+  STRCMP_EQUAL("done", result.body.c_str());
+}
+
 TEST_GROUP(HttpServer) {
   EventLoop loop;
   Echo echo;
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <string>
+#include <thread>
 
 #include "burdockhill/transport.h"
 
@@ -42,7 +43,10 @@
                         sizeof address));
     listen(m_listener, 1);
   }
-  ~RawServer() { close(m_listener); }
+  ~RawServer() {
+    if (m_answered >= 0) close(m_answered);
+    close(m_listener);
+  }
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
@@ -68,7 +72,22 @@
     close(connection);
   }
 
+  // Waits for a request and answers it while the loop does not run for `pause`.
+  void AnswerDuringPause(EventLoop* loop, const std::string& response,
+                         std::chrono::milliseconds pause) {
+    const int connection = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+    RunUntil(loop, [&] {
+      char buffer[4096];
+      return recv(connection, buffer, sizeof buffer, 0) > 0;
+    });
+    LONGS_EQUAL(response.size(),
+                send(connection, response.data(), response.size(), 0));
+    std::this_thread::sleep_for(pause);
+    m_answered = connection;
+  }
+
  private:
+  int m_answered = -1;
   int m_listener;
 };
 
