--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -12,7 +12,10 @@
 // The caller counts its idle time only from when it has read the response, and
 // its next request is under way for a time.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
-// A connection is closed if its caller does not read a response for this time.
+// What has arrived within a time limit is read within this time after it.
+constexpr Duration kLateReadTime = std::chrono::milliseconds(500);
+// A connection is closed if its caller reads nothing of a response for this
+// time.
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
 
 }  // namespace
@@ -174,7 +177,7 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
-  const bool keep_alive = KeepsAlive(*connection);
+  const bool keep_alive = KeepsAlive(socket, *connection);
   std::string bytes =
       FormatResponse(head, body.size(), NoticeFor(connection, keep_alive));
   if (connection->reader.MessageHead().method != "HEAD") bytes.append(body);
@@ -186,7 +189,7 @@
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
-  const bool keep_alive = KeepsAlive(*connection);
+  const bool keep_alive = KeepsAlive(socket, *connection);
   connection->is_streaming = true;
   connection->said_close = !keep_alive;
   m_sockets->Write(socket, FormatResponse(head, std::nullopt,
@@ -249,9 +252,10 @@
 void Server::CloseIdleConnections() {
   std::vector<SocketId> idle;
   for (const auto& [id, connection] : m_connections) {
-    if (!connection.exchange.IsValid() && !connection.reader.HasStarted()) {
-      idle.push_back(id);
-    }
+    const bool waits =
+        !connection.exchange.IsValid() && !connection.reader.HasStarted();
+    // The close would discard the rest of an answer.
+    if (waits && m_sockets->PendingBytes(id) == 0) idle.push_back(id);
   }
   for (const SocketId id : idle) CloseUnlessInputArrived(id);
 }
@@ -268,10 +272,19 @@
   m_sockets->Close(id, /*reset=*/false);
 }
 
-bool Server::KeepsAlive(const Connection& connection) const {
-  const bool may_close = (m_keep_alive_disabled || connection.input_ended) &&
-                         connection.pipelined.empty();
-  return connection.reader.MessageHead().keep_alive && !may_close;
+bool Server::MayReadLate(SocketId id, TimePoint now) {
+  if (!m_sockets->HasUnreadInput(id)) return false;
+  Connection* connection = m_connections.Find(id);
+  if (connection->late_since <= connection->wait_start) {
+    connection->late_since = now;
+  }
+  return now - connection->late_since <= kLateReadTime;
+}
+
+bool Server::KeepsAlive(SocketId id, const Connection& connection) const {
+  if (!connection.reader.MessageHead().keep_alive) return false;
+  if (!m_keep_alive_disabled && !connection.input_ended) return true;
+  return !connection.pipelined.empty() || m_sockets->HasUnreadInput(id);
 }
 
 void Server::RefuseUnfinishedRequests() {
@@ -294,19 +307,22 @@
 void Server::CheckTimeouts(TimePoint now) {
   std::vector<SocketId> idle;
   std::vector<SocketId> slow;
-  for (const auto& [id, connection] : m_connections) {
+  for (auto& [id, connection] : m_connections) {
     if (connection.exchange.IsValid()) continue;
+    const size_t unsent = m_sockets->PendingBytes(id);
+    const size_t unsent_before = std::exchange(connection.unsent_bytes, unsent);
+    if (unsent > 0 && unsent < unsent_before) connection.wait_start = now;
     const bool reading_head =
         connection.reader.HasStarted() && !connection.reader.HasHead();
     const ServerLimits limits = LimitsOf(connection);
     Duration limit = reading_head ? limits.header_timeout
                                   : limits.idle_timeout + kIdleMargin;
-    if (m_sockets->PendingBytes(id) > 0) limit = kUnreadResponseTimeout;
+    if (unsent > 0) limit = kUnreadResponseTimeout;
     if (now - connection.wait_start <= limit) continue;
     (connection.reader.HasStarted() ? slow : idle).push_back(id);
   }
   for (const SocketId id : slow) {
-    if (!m_sockets->HasUnreadInput(id)) Reject(id, kRequestTimeout);
+    if (!MayReadLate(id, now)) Reject(id, kRequestTimeout);
   }
   for (const SocketId id : idle) CloseUnlessInputArrived(id);
 }
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -60,8 +60,8 @@
   // Closes each connection after its current or next response, once it has no
   // pipelined requests.
   void DisableKeepAlive() { m_keep_alive_disabled = true; }
-  // Closes the connections that have no request in progress, and none that
-  // waits to be read.
+  // Closes the connections that have no request in progress, none that waits to
+  // be read, and no unsent bytes of an answer.
   void CloseIdleConnections();
   // Answers the requests that have only been received in part with 503, and
   // closes their connections.
@@ -99,10 +99,13 @@
     std::string pipelined;  // Bytes received after the current request.
     ExchangeId exchange;
     TimePoint wait_start{};  // Start of the current wait for input.
+    // When unread input was first found after the time limit of a wait.
+    TimePoint late_since{};
     // When the wait for the current request began, or the request itself.
     ServerLimits limits;
     // The idle timeout that the latest response has announced.
     Duration said_idle_timeout{};
+    size_t unsent_bytes = 0;    // At the last check of the time limits.
     size_t body_bytes = 0;      // Share of m_total_body_bytes.
     bool input_ended = false;   // The caller has closed its sending side.
     bool is_streaming = false;  // The response has started as a stream.
@@ -126,6 +129,9 @@
   ConnectionNotice NoticeFor(Connection* connection, bool keep_alive) const;
   void DispatchRequest(SocketId id, Connection* connection);
   void Reject(SocketId id, int status);
+  // Whether the rest of a request has arrived and is still to be read, although
+  // its time limit is over.
+  bool MayReadLate(SocketId id, TimePoint now);
   // Closes a connection without a request, and reads nothing more from it.
   void CloseUnlessInputArrived(SocketId id);
   void SetBodyBytes(Connection* connection, size_t bytes);
@@ -135,7 +141,7 @@
   void RemoveConnection(SocketId id);
   static bool IsReceiving(const Connection& connection);
   // Whether the connection stays open after its current response.
-  bool KeepsAlive(const Connection& connection) const;
+  bool KeepsAlive(SocketId id, const Connection& connection) const;
   Connection* FindConnection(ExchangeId id, SocketId* socket);
   const Connection* FindConnection(ExchangeId id) const;
 
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -210,3 +210,54 @@
   m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
   CHECK(m_sockets.GetConnection(id).closed_gracefully);
 }
+
+TEST(ClosingConnections, AnAnswerOnItsWayIsNotCutOffByAPlannedStop) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  Send(id, kGet);
+  m_sockets.SetPendingBytes(id, 100);
+  m_server.DisableKeepAlive();
+  m_server.CloseIdleConnections();
+  CHECK(m_sockets.GetConnection(id).open);
+  m_sockets.SetPendingBytes(id, 0);
+  STRCMP_CONTAINS("HTTP/1.1 200", Send(id, kGet).c_str());
+}
+
+TEST(ClosingConnections, AnAnswerThatIsReadSlowlyIsNotCut) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  Send(id, kGet);
+  m_sockets.SetPendingBytes(id, 1000);
+  AdvanceTime(seconds(50));
+  m_sockets.SetPendingBytes(id, 500);
+  AdvanceTime(seconds(50));
+  CHECK(m_sockets.GetConnection(id).open);
+  AdvanceTime(seconds(59));
+  CHECK(m_sockets.GetConnection(id).open);
+  AdvanceTime(seconds(2));
+  CHECK(!m_sockets.GetConnection(id).open);
+}
+
+TEST(ClosingConnections, APipelinedRequestThatWaitsUnreadInAStopIsAnswered) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, kGet);
+  m_server.DisableKeepAlive();
+  m_sockets.QueueInput(id, kGet);
+  m_responder.responds = true;
+  m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
+  m_sockets.DrainOutput(id);
+  m_sockets.ReadInput(id);
+  const std::string response = m_sockets.DrainOutput(id);
+  STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
+  STRCMP_CONTAINS("Connection: close", response.c_str());
+}
+
+TEST(ClosingConnections, ASlowHeadIsRefusedAlthoughBytesKeepArriving) {
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, "GET /");
+  for (int i = 0; i < 100; ++i) {
+    m_sockets.QueueInput(id, "x");
+    AdvanceTime(milliseconds(50));
+    m_sockets.ReadInput(id);
+  }
+  STRCMP_CONTAINS("HTTP/1.1 408", m_sockets.DrainOutput(id).c_str());
+}
