A pipelined request keeps the limits under which it arrived

What callers would have seen: 413 for the second of two requests in one go, if the limit of bodies was lowered while the first was being answered.

Cause: the wait for the next request took the current limits, though the request had already been read.

Why it works: what is pipelined is read under the limits of the request before it, or the higher ones of now.

--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -31,10 +31,6 @@
 }
 
 void Server::OnBytes(SocketId id, std::string_view bytes) {
-  ProcessInput(id, bytes);
-}
-
-void Server::ProcessInput(SocketId id, std::string_view bytes) {
   Connection* connection = m_connections.Find(id);
   if (connection == nullptr) return;
   if (connection->exchange.IsValid()) {
@@ -44,9 +40,15 @@
     }
     return;
   }
+  const MessageReader& reader = connection->reader;
+  if (!reader.HasStarted() || reader.HasHead()) StartWait(connection);
+  ReadRequest(id, connection, bytes);
+}
+
+void Server::ReadRequest(SocketId id, Connection* connection,
+                         std::string_view bytes) {
   MessageReader& reader = connection->reader;
   const bool had_head = reader.HasHead();
-  if (!reader.HasStarted() || had_head) StartWait(connection);
   const ServerLimits limits = LimitsOf(*connection);
   reader.SetMaxHeaderBytes(limits.max_header_bytes);
   const size_t consumed = reader.Consume(bytes);
@@ -93,8 +95,8 @@
   return limits;
 }
 
-ConnectionNotice Server::NoticeFor(Connection* connection,
-                                   bool keep_alive) const {
+ConnectionNotice Server::AnnounceKeepAlive(Connection* connection,
+                                           bool keep_alive) const {
   connection->said_idle_timeout = m_limits.idle_timeout;
   return {keep_alive, m_limits.idle_timeout};
 }
@@ -178,8 +180,8 @@
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
   const bool keep_alive = KeepsAlive(socket, *connection);
-  std::string bytes =
-      FormatResponse(head, body.size(), NoticeFor(connection, keep_alive));
+  std::string bytes = FormatResponse(head, body.size(),
+                                     AnnounceKeepAlive(connection, keep_alive));
   if (connection->reader.MessageHead().method != "HEAD") bytes.append(body);
   m_sockets->Write(socket, bytes);
   FinishExchange(id, keep_alive);
@@ -192,8 +194,9 @@
   const bool keep_alive = KeepsAlive(socket, *connection);
   connection->is_streaming = true;
   connection->said_close = !keep_alive;
-  m_sockets->Write(socket, FormatResponse(head, std::nullopt,
-                                          NoticeFor(connection, keep_alive)));
+  m_sockets->Write(socket,
+                   FormatResponse(head, std::nullopt,
+                                  AnnounceKeepAlive(connection, keep_alive)));
 }
 
 void Server::WriteStream(ExchangeId id, std::string_view bytes) {
@@ -233,10 +236,15 @@
   }
   SetBodyBytes(connection, 0);
   connection->reader.Reset();
+  // Those under which a pipelined request has arrived.
+  const ServerLimits earlier_limits = LimitsOf(*connection);
   StartWait(connection);
   m_sockets->SetReading(socket, true);
   const std::string pipelined = std::exchange(connection->pipelined, {});
-  if (!pipelined.empty()) ProcessInput(socket, pipelined);
+  if (!pipelined.empty()) {
+    connection->limits = earlier_limits;
+    ReadRequest(socket, connection, pipelined);
+  }
   connection = m_connections.Find(socket);
   if (connection == nullptr || connection->exchange.IsValid()) return;
   if (!connection->input_ended) return;
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -39,8 +39,8 @@
   virtual void OnCallerDisconnected(ExchangeId id) = 0;
   // The operating system has accepted all bytes written so far.
   virtual void OnOutputDrained(ExchangeId /*id*/) {}
-  // The time limit of a connection without a request is over. It is closed,
-  // unless input has arrived that is not read yet.
+  // The time limit of a connection without a request is over, or a planned stop
+  // closes those. It is closed, unless input has arrived that is not read yet.
   virtual void OnIdleConnection(Duration /*idle_time*/, bool /*closed*/) {}
 };
 
@@ -55,7 +55,7 @@
   void Listen(const Address& address) { m_sockets->Listen(address, this); }
   // A higher limit applies at once. A lower one applies to requests and waits
   // that begin afterwards: a caller may count on the limits that held when it
-  // began to send or got its last response.
+  // began to send, and on the idle timeout that held at its last response.
   void SetLimits(const ServerLimits& limits) { m_limits = limits; }
   // Closes each connection after its current or next response, once it has no
   // pipelined requests.
@@ -120,13 +120,16 @@
   void OnOutputDrained(SocketId id) override;
   void OnFailed(SocketId id) override;
 
-  void ProcessInput(SocketId id, std::string_view bytes);
+  // Reads the current request, with what is pipelined behind it.
+  void ReadRequest(SocketId id, Connection* connection, std::string_view bytes);
   // Input is awaited from now on.
   void StartWait(Connection* connection) const;
   // The limits that hold for the current wait or request.
   ServerLimits LimitsOf(const Connection& connection) const;
-  // What the response that begins now says of its connection.
-  ConnectionNotice NoticeFor(Connection* connection, bool keep_alive) const;
+  // What the response that begins now says of its connection. Remembers the
+  // idle timeout, which binds the connection from then on.
+  ConnectionNotice AnnounceKeepAlive(Connection* connection,
+                                     bool keep_alive) const;
   void DispatchRequest(SocketId id, Connection* connection);
   void Reject(SocketId id, int status);
   // Whether the rest of a request has arrived and is still to be read, although
--- a/burdockhill/src/transport/sockets.h
+++ b/burdockhill/src/transport/sockets.h
@@ -64,9 +64,9 @@
   // the remote side closes. Ends early if the remote side takes nothing for a
   // time. No callback follows.
   virtual void CloseGracefully(SocketId id) = 0;
-  // Closes at once, discarding queued bytes; with `reset` by a TCP reset, which
-  // the remote side sees as an error. What arrives later is not read. No
-  // callback follows.
+  // Closes at once, discarding queued bytes, so that a response may be cut;
+  // with `reset` by a TCP reset, which the remote side sees as an error. What
+  // arrives later is not read. No callback follows.
   virtual void Close(SocketId id, bool reset) = 0;
 };
 
--- a/tests/http_test_closing.cc
+++ b/tests/http_test_closing.cc
@@ -174,6 +174,19 @@
   STRCMP_CONTAINS("HTTP/1.1 431", Send(body, head + rest).c_str());
 }
 
+TEST(ClosingConnections, APipelinedRequestKeepsTheLimitsUnderWhichItArrived) {
+  m_responder.responds = false;
+  const SocketId id = m_sockets.ConnectAsCaller(kCallers);
+  m_sockets.Inject(id, std::string(kGet) +
+                           "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" +
+                           std::string(100, 'x'));
+  m_limits.max_body_bytes = 50;
+  m_server.SetLimits(m_limits);
+  m_responder.responds = true;
+  m_server.Respond(m_responder.exchanges.back(), OkHead(), "ok");
+  LONGS_EQUAL(2, m_responder.exchanges.size());
+}
+
 TEST(ClosingConnections, ARaisedLimitHoldsAtOnceOnKeptConnections) {
   m_limits.max_header_bytes = 100;
   m_limits.max_body_bytes = 10;
