No more slow prefills are cancelled than the retry budget allows

Callers saw: streams answered 503 though their prefill was only slow, several at once while the retry budget had little left.

Cause: Tick asked the budget for each slow prefill before any of them had paid, so all were cancelled on the same free retry. Those that could not pay afterwards were refused.

Evidence: GatewayRetryBudget NoMoreSlowPrefillsAreCancelledThanTheBudgetAllows failed before: of three slow prefills and a budget of one retry, none was left. The same tests for silent streams and silent plain calls passed before: both ask the budget right before they spend.

The budget is now asked right before each call is cancelled, which pays at once.

--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -123,8 +123,7 @@
       resumed.push_back(id);
     } else if (stream.phase == Phase::kPrefilling &&
                now - stream.call_started_at >
-                   PrefillTimeout(stream.routed.route) &&
-               m_board->retry_budget.Allows(stream.routed.service, now)) {
+                   PrefillTimeout(stream.routed.route)) {
       slow_prefills.push_back(stream.call);
     } else if (IsHandOverDue(stream)) {
       handed_over.push_back(id);
@@ -136,6 +135,12 @@
     ReserveDecodeEngine(m_streams.Find(id));
   }
   for (const http::CallId call : slow_prefills) {
+    // Not earlier, since each one that is cancelled spends a retry at once.
+    const Stream* stream = FindStream(call);
+    if (stream == nullptr ||
+        !m_board->retry_budget.Allows(stream->routed.service, now)) {
+      continue;
+    }
     m_board->connections->Cancel(call);
     OnCallFailed(call, http::CallFailure::kBroken);
   }
--- a/tests/gateway_test_retry_budget.cc
+++ b/tests/gateway_test_retry_budget.cc
@@ -1,6 +1,11 @@
 // Module gateway: how often requests are repeated, by the attempts of their
 // route and by the retry budget.
 
+#include <algorithm>
+#include <string>
+#include <variant>
+#include <vector>
+
 #include "tests/gateway_test_entry.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
@@ -68,6 +73,27 @@
     AdvanceTime(milliseconds(1300));
   }
 
+  // The budget of the service allows this many retries from now on.
+  void AllowRetries(const std::string& service, int retries) {
+    m_board.retry_budget.SetLimits({0, seconds(10), retries});
+    CHECK(!m_board.retry_budget.TrySpend(ServiceName(service), m_clock.Now(),
+                                         retries + 1));
+  }
+
+  size_t CountOpen(const std::vector<SocketId>& sockets) const {
+    return static_cast<size_t>(std::count_if(
+        sockets.begin(), sockets.end(),
+        [&](SocketId id) { return m_sockets.GetConnection(id).open; }));
+  }
+
+  template <typename Message>
+  size_t CountSent() const {
+    return static_cast<size_t>(std::count_if(
+        m_peer_link.sent.begin(), m_peer_link.sent.end(), [](const auto& sent) {
+          return std::holds_alternative<Message>(sent.second);
+        }));
+  }
+
   UpstreamName EngineOf(SocketId decode) const {
     const std::string& address = m_sockets.GetConnection(decode).address;
     for (const auto& [name, upstream] : m_board.upstreams.All()) {
@@ -161,3 +187,50 @@
   CHECK_FALSE(AwaitDecodeCall().IsValid());
   CHECK(m_sockets.GetConnection(caller).was_reset);
 }
+
+TEST(GatewayRetryBudget, NoMoreSlowPrefillsAreCancelledThanTheBudgetAllows) {
+  std::vector<SocketId> callers;
+  std::vector<SocketId> prefills;
+  for (int i = 0; i < 3; ++i) {
+    callers.push_back(Post("/stream/x"));
+    CHECK(GrantLatest<ReserveDecode>());
+    CHECK(GrantLatest<ReservePrefill>());
+    prefills.push_back(EstablishTo(kPrefill));
+  }
+  AllowRetries("llm", 1);
+  AdvanceTime(milliseconds(2300));
+  LONGS_EQUAL(2, CountOpen(prefills));
+  LONGS_EQUAL(3, CountOpen(callers));
+  for (const SocketId caller : callers) {
+    STRCMP_EQUAL("", m_sockets.DrainOutput(caller).c_str());
+  }
+}
+
+TEST(GatewayRetryBudget, NoMoreSilentStreamsMoveOnThanTheBudgetAllows) {
+  std::vector<SocketId> callers;
+  std::vector<SocketId> engines;
+  for (int i = 0; i < 3; ++i) {
+    SocketId caller;
+    engines.push_back(BeginStream(&caller));
+    callers.push_back(caller);
+  }
+  AllowRetries("llm", 1);
+  AwaitSilence();
+  LONGS_EQUAL(1, CountSent<ReserveDecode>());
+  LONGS_EQUAL(3, CountOpen(engines));
+  LONGS_EQUAL(3, CountOpen(callers));
+}
+
+TEST(GatewayRetryBudget, NoMoreSilentPlainCallsAreMovedThanTheBudgetAllows) {
+  std::vector<SocketId> callers;
+  std::vector<SocketId> calls;
+  for (int i = 0; i < 3; ++i) {
+    callers.push_back(Post("/safe/x"));
+    calls.push_back(EstablishPlain());
+    CHECK(calls.back().IsValid());
+  }
+  AllowRetries("plain", 1);
+  AdvanceTime(milliseconds(1000));
+  LONGS_EQUAL(2, CountOpen(calls));
+  LONGS_EQUAL(3, CountOpen(callers));
+}
