A limit of connections that is lifted holds no longer

What callers saw: after an operator had lifted maxConns of a service, or its entry had left the configuration, refusals for lack of room as under the former limit, until the entry was restarted.

Cause: only limits that are set were handed to the placement; a former one stayed.

Evidence: ALimitOfConnectionsThatIsLiftedHoldsNoLonger failed before with 2 calls of 3.

Why it works: the limits of a former generation are cleared before those of the present one are set, whatever became of each service.

--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -140,8 +140,13 @@
 
 void Gateway::DivideConnectionLimits() {
   if (!m_board->routes.HasConfiguration()) return;
+  const RoutingConfiguration& configuration = m_board->routes.Configuration();
+  if (std::exchange(m_limits_from, configuration.generation) !=
+      configuration.generation) {
+    m_board->placement.ClearMaxInFlight();
+  }
   const auto entries = static_cast<int>(1 + m_board->connected_entries);
-  for (const Service& service : m_board->routes.Configuration().services) {
+  for (const Service& service : configuration.services) {
     if (service.max_connections == 0) continue;
     m_board->placement.SetMaxInFlight(
         service.name, std::max(1, service.max_connections / entries));
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -54,6 +54,7 @@
   StreamCalls* m_streams;
   Shutdown m_shutdown;
   bool m_idle_connections_closed = false;
+  Generation m_limits_from;  // Of the connection limits in force.
 };
 
 // Decodes configurations from the store and applies valid ones to the route
--- a/burdockhill/src/routing/plain_placement.h
+++ b/burdockhill/src/routing/plain_placement.h
@@ -48,6 +48,8 @@
   void SetMaxInFlight(const ServiceName& service, int calls) {
     m_max_in_flight[service] = calls;
   }
+  // Lifts the limits of all services.
+  void ClearMaxInFlight() { m_max_in_flight.clear(); }
 
   // Records the start of a call to the upstream, and its end `latency` later.
   void RecordCallStart(const UpstreamName& name);
--- a/tests/gateway_test_configuration_changes.cc
+++ b/tests/gateway_test_configuration_changes.cc
@@ -1028,3 +1028,29 @@
   }
   CHECK_TEXT(failures.empty(), failures.c_str());
 }
+
+TEST(ConfigurationChanges, ALimitOfConnectionsThatIsLiftedHoldsNoLonger) {
+  const Edit lift = [](RoutingConfiguration* configuration) {
+    for (Service& service : configuration->services) {
+      service.max_connections = 0;
+    }
+  };
+  const Edit drop = [](RoutingConfiguration* configuration) {
+    configuration->services.clear();
+  };
+  for (const Edit& edit : {lift, drop}) {
+    Play play;
+    RoutingConfiguration configuration = play.Board().routes.Configuration();
+    configuration.generation = Generation(3);
+    for (Service& service : configuration.services) service.max_connections = 1;
+    play.ApplyConfiguration(configuration);
+    play.Pass();
+    configuration.generation = Generation(4);
+    edit(&configuration);
+    play.ApplyConfiguration(configuration);
+    play.Pass();
+    play.hold = Hold::kHead;
+    for (int i = 0; i < 3; ++i) play.Send("/safe/x");
+    LONGS_EQUAL(3, play.calls.size());
+  }
+}
