Soak: callers use kept connections while the idle limit changes and entries are paused

Class idle-limits. Each request on a kept connection gets an answer or a refusal, unless the connection ended within 200 ms after it was sent and no upstream saw it; at paused entries too.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -89,7 +89,10 @@
     : m_environment(environment),
       m_upstreams(upstreams),
       m_random(environment.seed + 1),
-      m_pool(environment.sockets, environment.clock) {}
+      m_pool(environment.sockets, environment.clock),
+      m_idle_callers(environment, [this](int entry, bool on_kept) {
+        return NextIdleRequest(entry, on_kept);
+      }) {}
 
 std::string Callers::NextId(const std::string& lane) {
   return lane.empty() ? "r" + std::to_string(m_requests++)
@@ -118,6 +121,9 @@
     MaybeCancelOne();
   }
   if (m_environment.Plays("late")) KeepConnections(elapsed);
+  if (m_environment.Plays("idle-limits")) {
+    m_idle_callers.SendDue(m_upstreams.IdleLimit());
+  }
 }
 
 void Callers::SendNew(CallKind kind, int entry, const std::string& lane) {
@@ -147,28 +153,46 @@
   }
 }
 
-void Callers::Send(std::unique_ptr<Caller> caller, const std::string& path,
-                   const std::string& lane) {
+std::string Callers::Format(const Caller& caller, const std::string& path) {
   std::string resumption;
-  if (caller->events_before > 0) {
-    resumption = "\r\nLast-Event-Id: " + std::to_string(caller->events_before) +
-                 "\r\nResumes: " + caller->origin;
+  if (caller.events_before > 0) {
+    resumption = "\r\nLast-Event-Id: " + std::to_string(caller.events_before) +
+                 "\r\nResumes: " + caller.origin;
   }
-  const Duration left = caller->deadline - caller->sent_at;
+  const Duration left = caller.deadline - caller.sent_at;
+  return "POST " + path +
+         "x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + caller.id +
+         "\r\nX-Token-Counts: 3000,2000\r\nX-Length-Hint: 1200"
+         "\r\nX-True-Length: 1220\r\nX-Deadline-Ms: " +
+         std::to_string(left.count() / 1000) + resumption +
+         "\r\nX-Answer-Bytes: " + std::to_string(caller.answer_padding) +
+         "\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+IdleCallers::Request Callers::NextIdleRequest(int entry, bool on_kept) {
+  const std::string id = "i" + std::to_string(m_idle_requests++);
+  const auto kind = static_cast<CallKind>(Choose(id, 4));
+  auto caller = std::make_unique<Caller>(kind, id, m_environment.clock);
+  caller->entry = entry;
+  caller->first_try = id;
+  caller->on_kept_connection = on_kept;
+  caller->deadline = caller->sent_at + kCallerDeadline;
+  IdleCallers::Request request = {
+      caller.get(), Format(*caller, kPaths[static_cast<int>(kind)])};
+  m_callers[id] = std::move(caller);
+  return request;
+}
+
+void Callers::Send(std::unique_ptr<Caller> caller, const std::string& path,
+                   const std::string& lane) {
   http::CallPolicy policy;
   policy.lane = lane;
   if (!lane.empty()) policy.max_idle_time = kMaxIdleTime;
   // A further try uses a new connection.
   if (caller->try_number > 1) policy.lane = caller->id;
-  caller->call = m_pool.Start(
-      m_environment.Host(0, 11 + caller->entry) + ":8000",
-      "POST " + path + "x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + caller->id +
-          "\r\nX-Token-Counts: 3000,2000\r\nX-Length-Hint: 1200"
-          "\r\nX-True-Length: 1220\r\nX-Deadline-Ms: " +
-          std::to_string(left.count() / 1000) + resumption +
-          "\r\nX-Answer-Bytes: " + std::to_string(caller->answer_padding) +
-          "\r\nContent-Length: 2\r\n\r\nhi",
-      caller.get(), policy);
+  caller->call =
+      m_pool.Start(m_environment.Host(0, 11 + caller->entry) + ":8000",
+                   Format(*caller, path), caller.get(), policy);
   if (caller->answer_padding > 0) PauseReading(caller->call);
   if (caller->kind == CallKind::kResumableStream &&
       m_environment.Plays("takeups")) {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -10,6 +10,7 @@
 #include "burdockhill/src/base/random.h"
 #include "burdockhill/src/http/connection_pool.h"
 #include "soak/environment.h"
+#include "soak/idle_callers.h"
 #include "soak/signals.h"
 #include "soak/upstreams.h"
 
@@ -64,6 +65,7 @@
   bool cancelled = false;  // The caller has left and does not come again.
   // The caller's channel broke; the caller takes the stream up.
   bool is_broken_off = false;
+  bool on_kept_connection = false;  // Of IdleCallers.
   bool is_on_newest_route = false;  // Sent after all faults have ended.
   size_t answer_padding = 0;
   std::string body;
@@ -105,6 +107,9 @@
   const Caller* Find(const std::string& id) const;
 
  private:
+  static std::string Format(const Caller& caller, const std::string& path);
+  // Of IdleCallers.
+  IdleCallers::Request NextIdleRequest(int entry, bool on_kept);
   void Send(std::unique_ptr<Caller> caller, const std::string& path,
             const std::string& lane);
   void SendNew(CallKind kind, int entry, const std::string& lane);
@@ -125,10 +130,12 @@
   uint64_t m_requests = 0;  // Without further tries and those of lanes.
   uint64_t m_kept_requests = 0;
   uint64_t m_due_requests = 0;
+  uint64_t m_idle_requests = 0;
   std::map<std::string, std::unique_ptr<Caller>> m_callers;
   std::vector<const Caller*> m_open_streams;  // That may be taken up.
   Duration m_connections_kept_at{0};
   std::map<int, TimePoint> m_stopping_until;  // Entries, which are not kept.
+  IdleCallers m_idle_callers;
 };
 
 }  // namespace burdockhill::soak
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -30,6 +30,7 @@
 constexpr double kMinShareThatGoesOn = 0.5;
 // A request that crosses the close of its connection may end so soon.
 constexpr Duration kCrossingTime = std::chrono::milliseconds(250);
+constexpr Duration kKeptCrossingTime = std::chrono::milliseconds(200);
 // A stop may break off what still runs so late.
 constexpr Duration kStopTimeForAnswers = std::chrono::seconds(5);
 constexpr Duration kStopTime = std::chrono::seconds(7);
@@ -51,6 +52,13 @@
 
   // Prints the violations and a summary; returns the number of violations.
   int Run() {
+    for (const bool plain : {false, true}) {
+      for (const emulation::RequestRate* rate : m_upstreams->Rates(plain)) {
+        for (const auto& arrival : rate->Arrivals()) {
+          m_arrived.insert(arrival.request);
+        }
+      }
+    }
     for (const auto& [id, caller] : m_callers.All()) CheckCaller(*caller);
     for (const auto& limited : m_upstreams->LimitedUpstreams()) {
       CheckLimit(limited);
@@ -89,8 +97,9 @@
               << " undisturbed streams went on; " << m_new_streams.Text()
               << " new ones began), " << m_late_answers << " of "
               << m_late_requests << " late requests answered, "
-              << m_mixed_streams << " mixed, " << m_violations
-              << " violations\n";
+              << m_kept_requests << " on kept connections (" << m_kept_crossings
+              << " crossed the close), " << m_mixed_streams << " mixed, "
+              << m_violations << " violations\n";
     return m_violations;
   }
 
@@ -147,6 +156,7 @@
     if (caller.failed && !caller.is_broken_off && !WasKilled(caller.entry)) {
       CheckPlannedStop(caller);
     }
+    if (caller.on_kept_connection) CheckKeptConnection(caller);
     if (caller.is_on_newest_route && caller.status != http::kOk) {
       Report(caller,
              "newest configuration is not in force after all faults ended");
@@ -211,6 +221,23 @@
     }
   }
 
+  // Also of entries that were paused.
+  void CheckKeptConnection(const Caller& caller) {
+    ++m_kept_requests;
+    if (!caller.failed || (caller.responses > 0 && !caller.IsPlain()) ||
+        m_signals.Got(EntryName(caller.entry), "KILL",
+                      caller.sent_at - kCrossingTime, caller.ended_at)) {
+      return;
+    }
+    if (m_arrived.contains(caller.id)) {
+      Report(caller, "passed on to an upstream, and no whole answer");
+    } else if (caller.ended_at - caller.sent_at > kKeptCrossingTime) {
+      Report(caller, "sent whole, and neither answered nor refused");
+    } else {
+      ++m_kept_crossings;
+    }
+  }
+
   void CountShares(const Caller& caller) {
     const bool goes_on = caller.ReadEvents().count > 0;
     if (caller.try_number > 1 && caller.events_before > 0) ++m_take_ups;
@@ -301,11 +328,14 @@
   const Signals& m_signals;
   const Callers& m_callers;
   Upstreams* m_upstreams;
+  std::set<std::string> m_arrived;  // Requests that upstreams have seen.
   Share m_new_streams;
   Share m_taken_up_streams;
   int m_take_ups = 0;
   int m_late_requests = 0;  // That were sent in planned stops.
   int m_late_answers = 0;
+  int m_kept_requests = 0;
+  int m_kept_crossings = 0;
   int m_mixed_streams = 0;
   int m_served_count = 0;
   int m_violations = 0;
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -1,6 +1,7 @@
 #include "soak/upstreams.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace burdockhill::soak {
@@ -25,6 +26,7 @@
 constexpr uint64_t kMaxMoreSilenceMs = 600;
 constexpr uint64_t kMaxHeadsToCut = 4;
 constexpr int64_t kFirstBorn = 1000;
+constexpr int64_t kIdleLimitsMs[] = {2000, 6000, 3000, 2500, 8000};
 
 EngineRole RoleOf(int i) {
   return i % kEnginesPerPrefill == 0 ? EngineRole::kPrefill
@@ -72,6 +74,12 @@
   add(NewestPath(), "safe", false, "plain");
   m_configuration = {
       {"version", m_version}, {"routes", routes}, {"services", services}};
+  if (m_environment.Plays("idle-limits")) {
+    const int64_t limit_ms =
+        kIdleLimitsMs[m_random.UniformBelow(std::size(kIdleLimitsMs))];
+    m_idle_limit = std::chrono::milliseconds(limit_ms);
+    m_configuration["limits"] = {{"idleTimeoutMs", limit_ms}};
+  }
   m_store.Put("config", "main", m_configuration);
 }
 
@@ -191,6 +199,18 @@
   return serving;
 }
 
+std::vector<const emulation::RequestRate*> Upstreams::Rates(bool plain) {
+  std::vector<const emulation::RequestRate*> rates;
+  if (plain) {
+    for (const auto& fake : m_plain_services) rates.push_back(&fake->Rate());
+  } else {
+    for (const Engine& engine : m_engines) {
+      rates.push_back(&engine.fake->Rate());
+    }
+  }
+  return rates;
+}
+
 int Upstreams::RunsOf(const std::string& request) const {
   const auto it = m_counts.starts_by_request.find(request);
   return it == m_counts.starts_by_request.end() ? 0 : it->second;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -51,6 +51,10 @@
   // Decode engines of this version that are ready and sound, for so long.
   std::vector<int> ServingEngines(const std::string& version,
                                   Duration time) const;
+  // The newest limit on the idle time of callers' connections.
+  Duration IdleLimit() const { return m_idle_limit; }
+  // Of the plain services, or of the engines.
+  std::vector<const emulation::RequestRate*> Rates(bool plain);
   int RunsOf(const std::string& request) const;
   int64_t HeldTokens() const;
   size_t HeldHandles() const { return m_handles.size(); }
@@ -102,6 +106,7 @@
   emulation::KvHandles m_handles;
   emulation::RunnerCounters m_counts;
   uint64_t m_version = 0;
+  Duration m_idle_limit{0};
   // As upstreams and operators have written them last.
   std::map<std::string, nlohmann::json> m_registrations;
   std::vector<std::string> m_gone_names;
