Soak: arrivals at the upstreams are held to the budget of retries

Class budget, beside silence of sound engines, full load and kills of all entries: in each window of 10 s, what a service gets beyond the first arrival of each request, and the first accepted computation of its prompt, is at most a fifth of its requests and the slack. All runs print the largest share used.

--- a/emulation/model_runner_fake.cc
+++ b/emulation/model_runner_fake.cc
@@ -87,6 +87,7 @@
     return Respond(id, http::kUnavailable, request_id, "", /*not_run=*/true);
   }
   if (HeaderValue(head, "X-Stage") == "prefill") {
+    m_rate.NotePrompt();
     m_queued_prompts.push_back(
         {id, FirstNumberInHeader(head, "X-Token-Counts"), request_id});
     return StartNextPrefill();
--- a/emulation/request_rate.h
+++ b/emulation/request_rate.h
@@ -21,11 +21,15 @@
   struct Arrival {
     TimePoint at{};
     std::string request;  // As the caller set its id.
+    // Accepted, and only computes the prompt.
+    bool computes_prompt = false;
   };
 
   void Count(TimePoint now, std::string request) {
     m_arrivals.push_back({now, std::move(request)});
   }
+  // What was counted last is accepted, and only computes the prompt.
+  void NotePrompt() { m_arrivals.back().computes_prompt = true; }
   // States another limit from now on, or none.
   void SetLimit(RateLimitValue limit) { m_limit = limit; }
   RateLimitValue Limit() const { return m_limit; }
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace burdockhill::soak {
 
@@ -34,6 +35,11 @@
 // A stop may break off what still runs so late.
 constexpr Duration kStopTimeForAnswers = std::chrono::seconds(5);
 constexpr Duration kStopTime = std::chrono::seconds(7);
+// What a service may get beyond the first arrival of each request.
+constexpr Duration kBudgetWindow = std::chrono::seconds(10);
+constexpr double kBudgetRatio = 0.2;
+constexpr int kBudgetSlackOfEntry = 5;
+constexpr int kBudgetSlack = 3;
 
 // Statuses that promise that the request has not run and never will.
 bool IsPromise(int status) {
@@ -66,6 +72,8 @@
     for (const auto& statement : m_upstreams->Statements()) {
       CheckStatement(statement);
     }
+    CheckBudget(/*plain=*/false);
+    CheckBudget(/*plain=*/true);
     if (m_upstreams->HeldTokens() > 0 || m_upstreams->HeldHandles() > 0) {
       Report("KV cache memory is still held: " +
              std::to_string(m_upstreams->HeldTokens()) + " tokens, " +
@@ -98,8 +106,9 @@
               << " new ones began), " << m_late_answers << " of "
               << m_late_requests << " late requests answered, "
               << m_kept_requests << " on kept connections (" << m_kept_crossings
-              << " crossed the close), " << m_mixed_streams << " mixed, "
-              << m_violations << " violations\n";
+              << " crossed the close), " << m_extra_arrivals.str()
+              << m_mixed_streams << " mixed, " << m_violations
+              << " violations\n";
     return m_violations;
   }
 
@@ -297,6 +306,66 @@
     }
   }
 
+  // The arrivals at a service beyond the first of each request and the first
+  // that only computes its prompt, in the order of time.
+  std::vector<TimePoint> ExtraArrivals(bool plain) {
+    std::vector<emulation::RequestRate::Arrival> arrivals;
+    for (const emulation::RequestRate* rate : m_upstreams->Rates(plain)) {
+      arrivals.insert(arrivals.end(), rate->Arrivals().begin(),
+                      rate->Arrivals().end());
+    }
+    std::stable_sort(arrivals.begin(), arrivals.end(),
+                     [](const auto& a, const auto& b) { return a.at < b.at; });
+    std::set<std::string> computed;
+    std::set<std::string> arrived;
+    std::vector<TimePoint> extra;
+    for (const auto& arrival : arrivals) {
+      const bool is_first = (arrival.computes_prompt &&
+                             computed.insert(arrival.request).second) ||
+                            arrived.insert(arrival.request).second;
+      if (!is_first) extra.push_back(arrival.at);
+    }
+    return extra;
+  }
+
+  // In each window that begins or ends with an extra arrival.
+  void CheckBudget(bool plain) {
+    const std::vector<TimePoint> extra = ExtraArrivals(plain);
+    std::vector<TimePoint> sent;
+    for (const auto& [id, caller] : m_callers.All()) {
+      if (caller->IsPlain() == plain) sent.push_back(caller->sent_at);
+    }
+    std::sort(sent.begin(), sent.end());
+    const auto count = [](const std::vector<TimePoint>& times, TimePoint from) {
+      return std::lower_bound(times.begin(), times.end(),
+                              from + kBudgetWindow) -
+             std::lower_bound(times.begin(), times.end(), from);
+    };
+    double most_used = 0;
+    std::ostringstream worst;
+    for (const TimePoint at : extra) {
+      for (const TimePoint from : {at, at - kBudgetWindow + Duration(1)}) {
+        const auto requests =
+            std::max({count(sent, from), count(sent, from - kBudgetWindow / 2),
+                      count(sent, from - kBudgetWindow)});
+        const double allowed = kBudgetRatio * static_cast<double>(requests) +
+                               kBudgetSlackOfEntry * m_environment.entries +
+                               kBudgetSlack;
+        const auto arrivals = count(extra, from);
+        const double used = static_cast<double>(arrivals) / allowed;
+        if (used <= most_used) continue;
+        most_used = used;
+        worst.str("");
+        worst << arrivals << " extra arrivals of " << allowed << " at the "
+              << (plain ? "plain services" : "engines");
+      }
+    }
+    if (!extra.empty()) m_extra_arrivals << worst.str() << ", ";
+    if (most_used > 1 && m_environment.Plays("budget")) {
+      Report("BUDGET: " + worst.str() + " in 10 s");
+    }
+  }
+
   // Requests by way of entries that were killed or paused do not count.
 
   void CheckLimit(const Upstreams::Limited& limited) {
@@ -334,6 +403,7 @@
   int m_take_ups = 0;
   int m_late_requests = 0;  // That were sent in planned stops.
   int m_late_answers = 0;
+  std::ostringstream m_extra_arrivals;
   int m_kept_requests = 0;
   int m_kept_crossings = 0;
   int m_mixed_streams = 0;
