An answer to the former process of an entry answers no search

Callers saw (in the test): a stream that they took up went on at the version of another stream.

Cause: each process of an entry numbered its searches for the origins of streams from 1. An agent that answered late, to a query of the process before, answered the present process's search of the same number.

Evidence: gateway_test, OutOfStep AnAnswerToTheFormerProcessOfTheEntryAnswersNoSearch failed before: version v2 of another stream was found. Whether the transport can deliver such an answer was not tried.

Fix: the numbers of a process begin at a random one.

--- a/burdockhill/src/gateway/agent_stream_origins.cc
+++ b/burdockhill/src/gateway/agent_stream_origins.cc
@@ -84,6 +84,8 @@
   const bool has_room = m_searches.size() < kMaxOpenSearches;
   const bool is_valid =
       stream.IsValid() && stream.service.Value().size() <= kMaxOriginNameBytes;
+  // An answer to the former process of this entry must answer no search here.
+  if (m_last_search == 0) m_last_search = m_board->random->NextId();
   const OriginSearchId id(++m_last_search);
   Search& search = m_searches[id];
   search.events = events;
