A first event is not recorded once the upstream is registered anew

Callers saw (in the test): the version of a process that had ended was recorded for a stream, so that a take-up would have been joined with another version.

Cause: an entry that is behind calls an upstream that restarted under its name and takes the registered version for the one that answers. It learns of the restart before the first event, and recorded the former version nevertheless.

Evidence: OutOfStep AFirstEventOfAnEngineThatRestartedIsNotRecorded and AFirstEventOfAPlainUpstreamThatRestartedIsNotRecorded failed before, one record each.

Fix: no record if the registration is of another start or version than that of the call.

--- a/burdockhill/src/gateway/take_up.cc
+++ b/burdockhill/src/gateway/take_up.cc
@@ -87,11 +87,21 @@
                      });
 }
 
+bool TakeUps::HasRestarted(const RoutedRequest& routed,
+                           const SoftwareVersion& version) const {
+  const RegisteredUpstream* upstream =
+      m_board->upstreams.Find(routed.last_upstream);
+  return upstream != nullptr &&
+         (upstream->started_at_ms != routed.last_upstream_started_at_ms ||
+          (upstream->version.IsValid() &&
+           !AreSameVersion(upstream->version, version)));
+}
+
 void TakeUps::RecordFirstEvent(const RoutedRequest& routed,
                                const SoftwareVersion& version) {
   const InboundRequest& request = routed.request;
   if (routed.route.kind != RequestKind::kResumableStream) return;
-  if (!version.IsValid()) return;
+  if (!version.IsValid() || HasRestarted(routed, version)) return;
   const Duration passed = m_board->clock->Now() - routed.arrived_at;
   const Duration keep =
       request.caller_timeout.value_or(routed.route.timeout) - passed;
--- a/burdockhill/src/gateway/take_up.h
+++ b/burdockhill/src/gateway/take_up.h
@@ -69,6 +69,10 @@
   // Ends a search; nullopt if it was cancelled.
   std::optional<Search> TakeSearch(OriginSearchId id);
   void RefuseUnknown(const Search& search, Duration retry_after);
+  // Whether the upstream of the latest call is registered as another process by
+  // now. That one may have answered already, so the version is not certain.
+  bool HasRestarted(const RoutedRequest& routed,
+                    const SoftwareVersion& version) const;
   bool IsServed(const ServiceName& service,
                 const SoftwareVersion& version) const;
 
--- a/tests/gateway_test_out_of_step.cc
+++ b/tests/gateway_test_out_of_step.cc
@@ -130,3 +130,23 @@
   present.Tick();
   CHECK_FALSE(result.found.has_value());
 }
+
+// Guards against a version that is recorded of a process that had ended.
+TEST(OutOfStep, AFirstEventOfAnEngineThatRestartedIsNotRecorded) {
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/resume/x", &caller);
+  Register("e1", "v2", kLaterStart);
+  m_sockets.Inject(decode, kFirstEvent);
+  LONGS_EQUAL(0, m_origins.records.size());
+  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+}
+
+TEST(OutOfStep, AFirstEventOfAPlainUpstreamThatRestartedIsNotRecorded) {
+  const SocketId caller = Post("/replay/x");
+  const SocketId call = EstablishPlain();
+  Register("p1", "v2", kLaterStart);
+  Register("p2", "v2", kLaterStart);
+  m_sockets.Inject(call, kFirstEvent);
+  LONGS_EQUAL(0, m_origins.records.size());
+  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+}
