An entry that was out of step trusts no engine from before

Callers saw (in tests): after an entry stood still or was cut off, a stream that was taken up there went to an engine by its registration of before, which may have restarted under its name at another version: either on a grant that had waited during the standstill, or without its agent.

Cause: a grant had no age, and an engine whose agent is not connected is used by its registration alone, however that agent was lost.

Evidence: gateway_test, OutOfStep AGrantThatWaitedWhileTheEntryStoodStillIsNotUsed, AfterAStandstillTheAgentIsAskedAnewAndTheStreamGoesOn, ATakeUpAfterACutUsesNoEngineWithoutItsAgent and AnAgentThatIsLostByAStandstillConfirmsNothing failed before.

Fix: grants that were asked for before a standstill of more than 500 ms are given back and asked for anew; the new one names the process. An engine whose agent was lost by silence or by a standstill has no known version until the agent is connected again or its registration is read again: no stream goes on there, no KV cache is passed, and a stream that begins there is not recorded.

--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -16,6 +16,9 @@
 constexpr Duration kAgentSilenceTimeout = std::chrono::milliseconds(1800);
 // While all agents that were asked are silent for longer, another one is asked.
 constexpr Duration kLateReport = std::chrono::milliseconds(700);
+// An entry whose event loop has not run for longer stood still: engines may
+// have been replaced meanwhile.
+constexpr Duration kStandstill = std::chrono::milliseconds(500);
 // Entries share an engine without an agent evenly. An entry is connected only
 // to its seeds and to those that have it as a seed, and may thus count too few
 // entries, so it assumes at least this many.
@@ -202,7 +205,7 @@
   }
   engine->reserved_since_report +=
       requirement.prompt_tokens + requirement.expected_output_tokens;
-  active->asked.insert(name);
+  active->asked[name] = now;
 }
 
 bool Reservations::AskLocalEngine(const AttemptId& attempt,
@@ -262,7 +265,7 @@
   if (active == nullptr || active->is_granted) return Cancel(attempt, engine);
   active->is_granted = true;
   active->granted_engine = engine;
-  for (const UpstreamName& other : active->asked) {
+  for (const auto& [other, asked_at] : active->asked) {
     if (other != engine) Cancel(attempt, other);
   }
   m_events->OnReserved(attempt, engine);
@@ -276,6 +279,35 @@
          upstream->started_at_ms == started_at_ms;
 }
 
+void Reservations::NoticeStandstill() {
+  const TimePoint now = m_board->clock->Now();
+  if (m_last_tick_at == TimePoint() || now - m_last_tick_at <= kStandstill) {
+    return;
+  }
+  m_ran_again_at = now;
+  for (auto& [name, engine] : m_engines) {
+    if (!engine.agent_connected) m_board->upstreams.Doubt(name);
+  }
+}
+
+bool Reservations::IsFromBeforeStandstill(const AttemptId& attempt,
+                                          const UpstreamName& engine) const {
+  const ActiveReservation* active = m_active_reservations.Find(attempt);
+  if (active == nullptr || active->is_granted) return false;
+  const auto asked = active->asked.find(engine);
+  return asked != active->asked.end() && asked->second < m_ran_again_at;
+}
+
+void Reservations::ReturnGrant(const AttemptId& attempt,
+                               const UpstreamName& engine) {
+  m_board->log->Write("late_grant", {{"engine", engine.Value()}});
+  Cancel(attempt, engine);
+  ActiveReservation* active = m_active_reservations.Find(attempt);
+  active->asked.erase(engine);
+  active->grant_deadline = std::max(
+      active->grant_deadline, m_board->clock->Now() + kAgentAnswerGracePeriod);
+}
+
 void Reservations::RejectGrant(const ReserveGranted& grant,
                                const UpstreamName& engine) {
   m_board->log->Write("engine_restarted", {{"engine", engine.Value()}});
@@ -307,7 +339,9 @@
   } else if (active->is_granted) {
     Cancel(attempt, active->granted_engine);
   } else {
-    for (const UpstreamName& engine : active->asked) Cancel(attempt, engine);
+    for (const auto& [engine, asked_at] : active->asked) {
+      Cancel(attempt, engine);
+    }
   }
   m_active_reservations.Erase(attempt);
 }
@@ -335,16 +369,18 @@
 bool Reservations::AreAskedAgentsSilent(const ActiveReservation& active) const {
   const TimePoint now = m_board->clock->Now();
   return std::all_of(
-      active.asked.begin(), active.asked.end(), [&](const UpstreamName& name) {
-        const Engine* engine = m_engines.Find(name);
+      active.asked.begin(), active.asked.end(), [&](const auto& asked) {
+        const Engine* engine = m_engines.Find(asked.first);
         return engine == nullptr || now - engine->last_heard_at > kLateReport;
       });
 }
 
 void Reservations::Tick() {
+  NoticeStandstill();
   SyncWithDirectory();
   m_pool_rates.Tick();
   const TimePoint now = m_board->clock->Now();
+  m_last_tick_at = now;
   std::vector<VmName> silent_agents;
   for (auto& [name, engine] : m_engines) {
     if (engine.agent_connected &&
@@ -369,7 +405,7 @@
     if (active == nullptr || active->is_granted) continue;
     if (now > active->grant_deadline + kAgentAnswerGracePeriod) {
       // These agents have not answered.
-      for (const UpstreamName& engine : std::exchange(active->asked, {})) {
+      for (const auto& [engine, asked_at] : std::exchange(active->asked, {})) {
         Cancel(attempt, engine);
         active->requirement.excluded_engines.insert(engine);
       }
@@ -397,6 +433,7 @@
   for (auto& [name, engine] : m_engines) {
     if (engine.agent != peer.vm) continue;
     engine.agent_connected = true;
+    m_board->upstreams.Confirm(name);
     engine.last_heard_at = m_board->clock->Now();
     engine.reserved_since_report = Tokens(0);
   }
@@ -404,11 +441,19 @@
 }
 
 void Reservations::OnPeerDown(const VmName& vm) {
+  NoticeStandstill();
   m_pool_rates.OnAgentDown(vm);
   bool was_connected = false;
   for (auto& [name, engine] : m_engines) {
     if (engine.agent != vm) continue;
     was_connected = was_connected || engine.agent_connected;
+    // After a standstill, its last message may be an old one.
+    const TimePoint now = m_board->clock->Now();
+    const bool stood_still =
+        m_ran_again_at != TimePoint() && now - m_ran_again_at <= kLateReport;
+    const bool was_silent =
+        stood_still || now - engine.last_heard_at > kLateReport;
+    if (engine.agent_connected && was_silent) m_board->upstreams.Doubt(name);
     engine.agent_connected = false;
     for (auto& [attempt, active] : m_active_reservations) {
       if (!active.is_granted) active.asked.erase(name);
@@ -421,7 +466,9 @@
   const UpstreamName name = FindEngine(from);
   Engine* engine = m_engines.Find(name);
   if (engine == nullptr) return;
+  NoticeStandstill();
   engine->agent_connected = true;
+  m_board->upstreams.Confirm(name);
   engine->last_heard_at = m_board->clock->Now();
   if (const auto* report = std::get_if<LoadReport>(&message)) {
     if (report->engines.empty()) return;
@@ -435,6 +482,9 @@
     if (!IsRegisteredProcess(name, granted->engine_started_at_ms)) {
       return RejectGrant(*granted, name);
     }
+    if (IsFromBeforeStandstill(granted->attempt, name)) {
+      return ReturnGrant(granted->attempt, name);
+    }
     AcceptGrant(granted->attempt, name);
   } else if (const auto* refused = std::get_if<AttemptRefused>(&message)) {
     HandleRefusal(*refused, name);
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -113,8 +113,9 @@
     Requirement requirement;
     TimePoint grant_deadline{};  // End of the wait for a grant.
     TimePoint target_by{};
-    TimePoint local_due_at{};      // When the decode engine is asked as well.
-    std::set<UpstreamName> asked;  // Engines whose agents were asked.
+    TimePoint local_due_at{};  // When the decode engine is asked as well.
+    // Engines whose agents were asked, and when.
+    std::map<UpstreamName, TimePoint> asked;
     bool is_granted = false;
     UpstreamName granted_engine;
     bool granted_without_agent = false;
@@ -154,6 +155,13 @@
   // registration may be of a former process with another software version.
   bool IsRegisteredProcess(const UpstreamName& engine,
                            int64_t started_at_ms) const;
+  // Whether the grant may have waited while the entry stood still. The process
+  // of the engine may have ended since.
+  bool IsFromBeforeStandstill(const AttemptId& attempt,
+                              const UpstreamName& engine) const;
+  // Gives such a grant back; agents are asked anew.
+  void ReturnGrant(const AttemptId& attempt, const UpstreamName& engine);
+  void NoticeStandstill();
   // Gives the grant of a process that is not registered yet back.
   void RejectGrant(const ReserveGranted& grant, const UpstreamName& engine);
   // Excludes the engine from this reservation.
@@ -168,6 +176,8 @@
   ReservationEvents* m_events = nullptr;
   uint32_t m_last_attempt_number = 0;
   uint64_t m_directory_version = 0;
+  TimePoint m_last_tick_at{};
+  TimePoint m_ran_again_at{};  // After the entry stood still.
   Table<UpstreamName, Engine> m_engines;
   std::map<VmName, UpstreamName> m_engine_by_agent;
   Table<AttemptId, ActiveReservation> m_active_reservations;
--- a/burdockhill/src/routing/upstream_directory.cc
+++ b/burdockhill/src/routing/upstream_directory.cc
@@ -80,6 +80,7 @@
     return;
   }
   m_drop_at.erase(upstream.name);
+  m_doubted.erase(upstream.name);
   ++m_version;
   const UpstreamName name = upstream.name;
   if (const auto stated = m_stated_leaving.find(name);
@@ -112,6 +113,21 @@
   return true;
 }
 
+void UpstreamDirectory::Doubt(const UpstreamName& name) {
+  const auto found = m_upstreams.find(name);
+  if (found == m_upstreams.end() || m_doubted.contains(name)) return;
+  m_doubted[name] = std::exchange(found->second.version, SoftwareVersion());
+  ++m_version;
+}
+
+void UpstreamDirectory::Confirm(const UpstreamName& name) {
+  const auto doubted = m_doubted.find(name);
+  if (doubted == m_doubted.end()) return;
+  m_upstreams.at(name).version = doubted->second;
+  m_doubted.erase(doubted);
+  ++m_version;
+}
+
 bool UpstreamDirectory::MayHaveEnded(const RegisteredUpstream& upstream) const {
   const auto ended = m_ended.find(upstream.name);
   return ended != m_ended.end() && !m_upstreams.contains(upstream.name) &&
@@ -144,6 +160,7 @@
   // Without a start time, one that comes back is taken for a new process.
   if (found->second.started_at_ms == 0) m_stated_leaving.erase(name);
   m_upstreams.erase(found);
+  m_doubted.erase(name);
   ++m_version;
   RebuildLatest();
 }
--- a/burdockhill/src/routing/upstream_directory.h
+++ b/burdockhill/src/routing/upstream_directory.h
@@ -72,6 +72,12 @@
   // has stated that it leaves. Returns whether this was not known.
   bool RecordLeaving(const UpstreamName& name, int64_t started_at_ms);
 
+  // The registration may be of a process that has ended unnoticed. Its version
+  // counts as unknown until it is confirmed or read again.
+  void Doubt(const UpstreamName& name);
+  // Grants of the upstream's agent tell its process from now on.
+  void Confirm(const UpstreamName& name);
+
   // Records that the registry did not answer at `now`.
   void RecordOutage(TimePoint now) { m_last_outage = now; }
 
@@ -114,6 +120,8 @@
   std::map<UpstreamName, TimePoint> m_drop_at;  // When each is dropped.
   // Start times of the processes that have stated that they leave.
   std::map<UpstreamName, int64_t> m_stated_leaving;
+  // Versions of the registrations that are in doubt.
+  std::map<UpstreamName, SoftwareVersion> m_doubted;
   struct Ended {
     int64_t started_at_ms = 0;
     uint64_t era = 0;
--- a/tests/gateway_test_out_of_step.cc
+++ b/tests/gateway_test_out_of_step.cc
@@ -100,6 +100,143 @@
 
 TEST_GROUP_BASE(OutOfStep, OutOfStepFixture){};
 
+TEST(OutOfStep, AGrantThatWaitedWhileTheEntryStoodStillIsNotUsed) {
+  for (const bool registered_first : {true, false}) {
+    Register("e1", "v1", kFormerStart);
+    const SocketId caller = TakeUp("/resume/x");
+    const AttemptId attempt = LatestOf<ReserveDecode>("10.0.2.2");
+    m_peer_link.sent.clear();
+    m_clock.Advance(seconds(3));
+    // The engine restarted at v2; what the entry gets of before comes at once.
+    if (registered_first) Register("e1", "v2", kLaterStart);
+    SendLoadReport("10.0.2.2", EngineRole::kDecode);
+    Grant("10.0.2.2", attempt, kFormerStart);
+    LONGS_EQUAL(0, Asked<ReservePrefill>().size());
+    LONGS_EQUAL(1, Asked<CancelAttempt>().count("10.0.2.2"));
+    Tick();
+    Grant("10.0.2.2", attempt, kLaterStart);
+    Register("e1", "v2", kLaterStart);
+    AdvanceTime(milliseconds(300));
+    LONGS_EQUAL(0, Asked<ReservePrefill>().size());
+    CheckRefused(caller);
+  }
+}
+
+// Guards against refusals of streams whose engine is the same after a pause.
+TEST(OutOfStep, AfterAStandstillTheAgentIsAskedAnewAndTheStreamGoesOn) {
+  const SocketId caller = TakeUp("/resume/x");
+  const AttemptId attempt = LatestOf<ReserveDecode>("10.0.2.2");
+  m_peer_link.sent.clear();
+  m_clock.Advance(seconds(2));
+  for (const char* agent : {"10.0.2.1", "10.0.2.2", "10.0.2.3"}) {
+    SendLoadReport(agent, agent == std::string("10.0.2.1")
+                              ? EngineRole::kPrefill
+                              : EngineRole::kDecode);
+  }
+  Grant("10.0.2.2", attempt, kFormerStart);
+  Tick();
+  CHECK(LatestOf<ReserveDecode>("10.0.2.2") == attempt);
+  Grant("10.0.2.2", attempt, kFormerStart);
+  LONGS_EQUAL(1, Asked<ReservePrefill>().count("10.0.2.1"));
+  STRCMP_EQUAL("", m_sockets.DrainOutput(caller).c_str());
+}
+
+// Guards against a stream joined at an engine that restarted under its name.
+TEST(OutOfStep, ATakeUpAfterACutUsesNoEngineWithoutItsAgent) {
+  CutOffFromAgents(seconds(3));
+  const SocketId caller = TakeUp("/resume/x");
+  AdvanceTime(milliseconds(300));
+  CheckRefused(caller);
+  LONGS_EQUAL(0, m_log.Count("reserved_without_agent"));
+  ComeUp("10.0.2.2");
+  TakeUp("/resume/x");
+  LONGS_EQUAL(1, Asked<ReserveDecode>().count("10.0.2.2"));
+  Grant("10.0.2.2", LatestOf<ReserveDecode>("10.0.2.2"), kLaterStart);
+  LONGS_EQUAL(0, Asked<ReservePrefill>().size());
+}
+
+TEST(OutOfStep, AnEngineThatRegisteredAfterTheCutNeedsNoAgent) {
+  CutOffFromAgents(seconds(3));
+  Register("e1", "v1", kLaterStart);
+  TakeUp("/resume/x");
+  AdvanceTime(milliseconds(300));
+  LONGS_EQUAL(1, m_sockets.OpenTo(kDecodeOne).size());
+}
+
+// No registration is certain then, so neither KV cache nor a version is known.
+TEST(OutOfStep, NewStreamsThatBeginWithoutAgentsAfterACutAreNotRecorded) {
+  CutOffFromAgents(seconds(3));
+  const SocketId caller = Post("/resume/x");
+  AdvanceTime(milliseconds(300));
+  LONGS_EQUAL(0, m_sockets.OpenTo(kPrefill).size());
+  const SocketId one = EstablishTo(kDecodeOne);
+  const SocketId call = one.IsValid() ? one : EstablishTo(kDecodeTwo);
+  CHECK(call.IsValid());
+  m_sockets.Inject(call, kFirstEvent);
+  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+  ComeUp("10.0.2.2");
+  ComeUp("10.0.2.3");
+  m_peer_link.sent.clear();
+  m_sockets.Fail(call);
+  LONGS_EQUAL(0, m_origins.records.size());
+  LONGS_EQUAL(0, Asked<ReserveDecode>().size());
+  CHECK(m_sockets.GetConnection(caller).was_reset);
+}
+
+TEST(OutOfStep, AFirstEventDuringACutIsRecordedWithTheVersionThatWasCalled) {
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/resume/x", &caller);
+  m_agents_are_alive = false;
+  AdvanceTime(milliseconds(2500));
+  m_sockets.Inject(decode, kFirstEvent);
+  LONGS_EQUAL(1, m_origins.records.size());
+  STRCMP_EQUAL("v1", m_origins.records.back().version.Value().c_str());
+}
+
+// What was sent during the standstill is delivered in one turn, in any order.
+TEST(OutOfStep, AnAgentThatIsLostByAStandstillConfirmsNothing) {
+  for (int order = 0; order < 4; ++order) {
+    ComeUp("10.0.2.2");
+    const SocketId early = order == 3 ? TakeUp("/resume/x") : SocketId();
+    m_clock.Advance(seconds(3));
+    if (order != 0) SendLoadReport("10.0.2.2", EngineRole::kDecode);
+    if (order == 2) Tick();
+    m_reservations.OnPeerDown(VmName("10.0.2.2"));
+    const SocketId caller = early.IsValid() ? early : TakeUp("/resume/x");
+    m_agents_are_alive = false;
+    AdvanceTime(milliseconds(300));
+    CheckRefused(caller);
+  }
+}
+
+TEST(OutOfStep, AnAgentThatEndsInStepLeavesItsEngineInUse) {
+  m_reservations.OnPeerDown(VmName("10.0.2.2"));
+  TakeUp("/resume/x");
+  Tick();
+  LONGS_EQUAL(1, m_log.Count("reserved_without_agent"));
+  LONGS_EQUAL(1, Asked<ReservePrefill>().count("10.0.2.1"));
+}
+
+// Guards against a version that is recorded of a process that had ended.
+TEST(OutOfStep, AFirstEventOfAnEngineThatRestartedIsNotRecorded) {
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/resume/x", &caller);
+  Register("e1", "v2", kLaterStart);
+  m_sockets.Inject(decode, kFirstEvent);
+  LONGS_EQUAL(0, m_origins.records.size());
+  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+}
+
+TEST(OutOfStep, AFirstEventOfAPlainUpstreamThatRestartedIsNotRecorded) {
+  const SocketId caller = Post("/replay/x");
+  const SocketId call = EstablishPlain();
+  Register("p1", "v2", kLaterStart);
+  Register("p2", "v2", kLaterStart);
+  m_sockets.Inject(call, kFirstEvent);
+  LONGS_EQUAL(0, m_origins.records.size());
+  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+}
+
 // A search asks all three agents, since they are the only ones.
 TEST(OutOfStep, AnAnswerToTheFormerProcessOfTheEntryAnswersNoSearch) {
   struct Result : OriginSearchEvents {
@@ -131,22 +268,32 @@
   CHECK_FALSE(result.found.has_value());
 }
 
-// Guards against a version that is recorded of a process that had ended.
-TEST(OutOfStep, AFirstEventOfAnEngineThatRestartedIsNotRecorded) {
-  SocketId caller;
-  const SocketId decode = StartDecodeCall("/resume/x", &caller);
+TEST(OutOfStep, AnEngineThatTheEntryDoesNotKnowTakesUpNothing) {
+  m_origins.known[{ServiceName("llm"), HashRequestId("first")}] =
+      SoftwareVersion("v3");
+  const SocketId caller = TakeUp("/resume/x");
+  CheckRefused(caller);
+  LONGS_EQUAL(0, Asked<ReserveDecode>().size());
+}
+
+TEST(OutOfStep, AnAnswerAboutTheOriginThatMeetsAChangedRegistryIsHeld) {
+  Post("/resume/x", "Last-Event-Id: 3\r\nResumes: first\r\n");
   Register("e1", "v2", kLaterStart);
-  m_sockets.Inject(decode, kFirstEvent);
-  LONGS_EQUAL(0, m_origins.records.size());
-  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+  m_origins.Deliver();
+  LONGS_EQUAL(0, Asked<ReserveDecode>().size());
+  LONGS_EQUAL(0, m_sockets.AllOutgoing().size());
+  CHECK(m_gateway.IsIdle());
 }
 
-TEST(OutOfStep, AFirstEventOfAPlainUpstreamThatRestartedIsNotRecorded) {
-  const SocketId caller = Post("/replay/x");
-  const SocketId call = EstablishPlain();
-  Register("p1", "v2", kLaterStart);
-  Register("p2", "v2", kLaterStart);
-  m_sockets.Inject(call, kFirstEvent);
-  LONGS_EQUAL(0, m_origins.records.size());
-  STRCMP_CONTAINS("data: d", m_sockets.DrainOutput(caller).c_str());
+TEST(OutOfStep, TheNextEngineOfASilentOneIsOfTheRegisteredProcess) {
+  Register("e2", "v1", kFormerStart);
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/resume/x", &caller);
+  m_sockets.Inject(decode, kFirstEvent);
+  m_peer_link.sent.clear();
+  AdvanceTime(milliseconds(1500));
+  LONGS_EQUAL(1, Asked<ReserveDecode>().count("10.0.2.3"));
+  Grant("10.0.2.3", LatestOf<ReserveDecode>("10.0.2.3"), kLaterStart);
+  AdvanceTime(milliseconds(300));
+  LONGS_EQUAL(0, m_sockets.OpenTo(kDecodeTwo).size());
 }
