Tests of what is left of entries out of step, which fail

gateway_test, OutOfStep, three tests. Seen: a decode call with KV cache of before a standstill, to an engine that may have restarted; a stream that is moved on by the registration of a process that had ended; the answer to a take-up that is forwarded though the registration has changed since the call.

--- a/tests/gateway_test_out_of_step.cc
+++ b/tests/gateway_test_out_of_step.cc
@@ -297,3 +297,60 @@
   AdvanceTime(milliseconds(300));
   LONGS_EQUAL(0, m_sockets.OpenTo(kDecodeTwo).size());
 }
+
+TEST(OutOfStep, KvCacheOfBeforeAStandstillGoesToNoEngineThatMayHaveRestarted) {
+  for (const std::string path : {"/resume/x", "/stream/x"}) {
+    const SocketId caller = Post(path);
+    Grant("10.0.2.2", LatestOf<ReserveDecode>("10.0.2.2"), kFormerStart);
+    Grant("10.0.2.1", LatestOf<ReservePrefill>("10.0.2.1"), kFormerStart);
+    const SocketId prefill = EstablishTo(kPrefill);
+    m_sockets.DrainOutput(prefill);
+    m_clock.Advance(seconds(2));
+    m_sockets.Inject(prefill, HttpResponse(200, "X-Request-Id: r1\r\n",
+                                           R"({"kvHandle":"k"})"));
+    LONGS_EQUAL(0, m_sockets.OpenTo(kDecodeOne).size());
+    Register("e1", "v2", kLaterStart);
+    m_sockets.Fail(caller);
+  }
+}
+
+TEST(OutOfStep, AStreamWhoseEngineIsRegisteredAnewBeforeItsHeadIsNotMovedOn) {
+  Register("e2", "v1", kFormerStart);
+  SocketId caller;
+  const SocketId decode = StartDecodeCall("/resume/x", &caller);
+  STRCMP_EQUAL(kDecodeOne, m_sockets.GetConnection(decode).address.c_str());
+  Register("e1", "v2", kLaterStart);
+  m_sockets.Inject(decode, kFirstEvent);
+  m_peer_link.sent.clear();
+  m_sockets.Fail(decode);
+  LONGS_EQUAL(0, Asked<ReserveDecode>().size());
+  CHECK(m_sockets.GetConnection(caller).was_reset);
+}
+
+// A take-up that meets a restart before its head is joined otherwise.
+TEST(OutOfStep, ATakeUpWhoseEngineIsRegisteredAnewBeforeItsHeadIsNotForwarded) {
+  for (const std::string path : {"/resume/x", "/replay/x"}) {
+    const SocketId caller = TakeUp(path);
+    SocketId call;
+    if (path == "/resume/x") {
+      Grant("10.0.2.2", LatestOf<ReserveDecode>("10.0.2.2"), kFormerStart);
+      Grant("10.0.2.1", LatestOf<ReservePrefill>("10.0.2.1"), kFormerStart);
+      m_sockets.Inject(
+          EstablishTo(kPrefill),
+          HttpResponse(200, "X-Request-Id: r1\r\n", R"({"kvHandle":"k"})"));
+      call = EstablishTo(kDecodeOne);
+    } else {
+      call = EstablishPlain();
+    }
+    CHECK(call.IsValid());
+    for (const char* name : {"e1", "p1", "p2"}) {
+      Register(name, "v2", kLaterStart);
+    }
+    m_sockets.Inject(call, kFirstEvent);
+    CHECK(m_sockets.DrainOutput(caller).find("data: d") == std::string::npos);
+    m_sockets.Fail(caller);
+    for (const char* name : {"e1", "p1", "p2"}) {
+      Register(name, "v1", kFormerStart);
+    }
+  }
+}
