A stream is bound to no version that its engine may have left before it answered

What callers saw (in tests): a stream that was taken up was forwarded from an engine or a plain upstream that the registry showed as another process by then; a new stream moved on by the registration of a process that had ended; KV cache of before a standstill went to an engine that may have restarted meanwhile.

Cause: the version of the call was taken from the registration when it was sent, and not asked for again when the answer began, nor after a standstill.

Why it works: when an answer begins, the registration is compared with that of the call. If it differs, a stream with a version is not forwarded, and a new one is bound to no version, so that it goes on nowhere. A reservation that was granted before a standstill passes no KV cache on; the engine is reserved anew.

--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -270,9 +270,18 @@
                    request->call_started_at);
   request->response_head = head;
   const bool stream = IsStream(request->routed.route.kind);
-  if (stream && head.status == http::kOk && !metadata.not_run) {
-    StartStream(request);
+  if (!stream || head.status != http::kOk || metadata.not_run) return true;
+  if (request->version.has_value() &&
+      m_take_ups.HasRestarted(request->routed, request->called_version)) {
+    m_board->connections->Cancel(id);
+    m_exchanges_by_call.Erase(id);
+    request->call = http::CallId();
+    RecordCallEnd(request, CallResult::kFailed);
+    RetryOrGiveUp(request, CallOutcome::kMayHaveRun,
+                  "upstream may have restarted");
+    return true;
   }
+  StartStream(request);
   return true;
 }
 
--- a/burdockhill/src/gateway/reservations.cc
+++ b/burdockhill/src/gateway/reservations.cc
@@ -290,12 +290,17 @@
   }
 }
 
-bool Reservations::IsFromBeforeStandstill(const AttemptId& attempt,
+bool Reservations::IsFromBeforeStandstill(const ActiveReservation& active,
                                           const UpstreamName& engine) const {
+  const auto asked = active.asked.find(engine);
+  return asked != active.asked.end() && asked->second < m_ran_again_at;
+}
+
+bool Reservations::IsOutdated(const AttemptId& attempt) {
+  NoticeStandstill();
   const ActiveReservation* active = m_active_reservations.Find(attempt);
-  if (active == nullptr || active->is_granted) return false;
-  const auto asked = active->asked.find(engine);
-  return asked != active->asked.end() && asked->second < m_ran_again_at;
+  return active != nullptr && active->is_granted &&
+         IsFromBeforeStandstill(*active, active->granted_engine);
 }
 
 void Reservations::ReturnGrant(const AttemptId& attempt,
@@ -482,7 +487,10 @@
     if (!IsRegisteredProcess(name, granted->engine_started_at_ms)) {
       return RejectGrant(*granted, name);
     }
-    if (IsFromBeforeStandstill(granted->attempt, name)) {
+    const ActiveReservation* active =
+        m_active_reservations.Find(granted->attempt);
+    if (active != nullptr && !active->is_granted &&
+        IsFromBeforeStandstill(*active, name)) {
       return ReturnGrant(granted->attempt, name);
     }
     AcceptGrant(granted->attempt, name);
--- a/burdockhill/src/gateway/reservations.h
+++ b/burdockhill/src/gateway/reservations.h
@@ -76,6 +76,9 @@
   void Reserve(const AttemptId& attempt, const Requirement& requirement);
   // Cancels a reservation, whether waiting or granted.
   void Release(const AttemptId& attempt);
+  // Whether the reservation was granted before the entry stood still. The
+  // process of the engine may have ended since.
+  bool IsOutdated(const AttemptId& attempt);
 
   // A call to the engine failed. The engine is then not used for a backoff time
   // that doubles with each failure until RecordSuccess, unless all engines are
@@ -155,9 +158,9 @@
   // registration may be of a former process with another software version.
   bool IsRegisteredProcess(const UpstreamName& engine,
                            int64_t started_at_ms) const;
-  // Whether the grant may have waited while the entry stood still. The process
-  // of the engine may have ended since.
-  bool IsFromBeforeStandstill(const AttemptId& attempt,
+  // Whether the engine was asked before the entry stood still, so that its
+  // grant may have waited meanwhile.
+  bool IsFromBeforeStandstill(const ActiveReservation& active,
                               const UpstreamName& engine) const;
   // Gives such a grant back; agents are asked anew.
   void ReturnGrant(const AttemptId& attempt, const UpstreamName& engine);
--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -331,6 +331,10 @@
                     (!stream->kv.has_value() ||
                      AreSameVersion(upstream->version, stream->called_version));
   if (!fits) return OnDecodeRejected(stream, "engine has another version");
+  if (stream->kv.has_value() &&
+      m_reservations->IsOutdated(stream->decode_attempt)) {
+    return OnDecodeRejected(stream, "engine may have restarted");
+  }
   if (!PayForRetries(stream, stream->calls.DueBeforeDecode())) {
     return FailUnpaid(stream);
   }
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -44,7 +44,16 @@
   stream->response_head = head;
   if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
   stream->may_have_run = true;
-  if (is_stream) ForwardHead(stream, head);
+  if (!is_stream) return true;
+  if (stream->version.has_value() &&
+      m_take_ups.HasRestarted(stream->routed, stream->called_version)) {
+    m_board->connections->Cancel(id);
+    m_exchanges_by_call.Erase(id);
+    stream->call = http::CallId();
+    OnDecodeBroken(stream, "engine may have restarted");
+    return true;
+  }
+  ForwardHead(stream, head);
   return true;
 }
 
@@ -52,7 +61,13 @@
   ReplaceSilentCall(stream);
   stream->is_forwarding = true;
   stream->events.BeginResponse();
-  if (!stream->version.has_value()) stream->version = stream->called_version;
+  if (!stream->version.has_value()) {
+    // An unknown version fits no engine that could go on with the stream.
+    stream->version =
+        m_take_ups.HasRestarted(stream->routed, stream->called_version)
+            ? SoftwareVersion()
+            : stream->called_version;
+  }
   if (std::exchange(stream->head_sent, true)) return;
   http::Head response = head;
   http::RemoveConnectionHeaders(&response.headers);
--- a/burdockhill/src/gateway/take_up.h
+++ b/burdockhill/src/gateway/take_up.h
@@ -47,6 +47,10 @@
   // Ignored if there is no search for the exchange.
   void Cancel(http::ExchangeId id);
 
+  // Whether the upstream of the latest call is registered as another process by
+  // now. That one may have answered already, so the version is not certain.
+  bool HasRestarted(const RoutedRequest& routed,
+                    const SoftwareVersion& version) const;
   // An upstream of this version has sent the first event of the answer. Call
   // before the caller gets it, so that the caller can take the stream up as
   // soon as it has one.
@@ -69,10 +73,6 @@
   // Ends a search; nullopt if it was cancelled.
   std::optional<Search> TakeSearch(OriginSearchId id);
   void RefuseUnknown(const Search& search, Duration retry_after);
-  // Whether the upstream of the latest call is registered as another process by
-  // now. That one may have answered already, so the version is not certain.
-  bool HasRestarted(const RoutedRequest& routed,
-                    const SoftwareVersion& version) const;
   bool IsServed(const ServiceName& service,
                 const SoftwareVersion& version) const;
 
