Own path: a new request is not placed at an upstream that was dropped

What callers saw: requests that began after an operator had dropped an upstream were still sent to it while its agent was up; with all upstreams of a service dropped they were answered by them instead of refused.

Cause: the views of agents outlive the configuration, since the platform's list of VMs lags, and placement asked only whether the agent is up and serves the service.

Evidence: EachChangeLeavesRequestsInEachStateTheirEnd, a table of each change of the configuration (time-outs, teams, quotas, services, upstreams, the same version again, two in a row) with each state of a request of the own path, failed before in 42 pairs: 18 of "upstreams dropped", 24 of "all upstreams dropped". No other pair failed.

Why it works: a view keeps the generation that dropped its upstream, and takes only requests that were admitted before. Those go on as they would without the change, also where they are placed again; a first try that closed the view to them, too, failed the table with an end other than without the change.

--- a/burdockhill/src/entry/admission.cc
+++ b/burdockhill/src/entry/admission.cc
@@ -29,6 +29,7 @@
   const Team* team = FindTeam(*request);
   if (team == nullptr) return refuse(ErrorKind::kUnauthorized);
   request->team = team->name;
+  request->generation = m_board->in_force;
   request->request_class = team->request_class;
   if (!ResolveService(request, *team)) return;
   if (!CheckLimits(request, *team)) return;
--- a/burdockhill/src/entry/entry_blackboard.h
+++ b/burdockhill/src/entry/entry_blackboard.h
@@ -54,6 +54,7 @@
   // the service may be deleted while the call is in flight.
   Duration call_timeout{0};
   bool repeatable = false;  // The call may be retried.
+  Generation generation;    // In force at admission.
   TimePoint arrived_at{};
   TimePoint first_token_deadline{};
   TimePoint last_progress_at{};  // Last progress of any attempt.
@@ -109,6 +110,8 @@
   RegionName region;
   bool is_listed = false;          // On the platform's VM list.
   bool listed_as_leaving = false;  // Marked as leaving on that list.
+  // The generation that has dropped it from the configuration, if any.
+  std::optional<Generation> dropped_by;
   Incarnation incarnation;
   TimePoint last_heard{};
   TimePoint silent_since{};
@@ -124,6 +127,15 @@
     return state == PeerState::kUp && report.has_value() && !report->leaving &&
            !listed_as_leaving;
   }
+  // Whether it takes this request. One that was admitted before the upstream
+  // was dropped may still end there.
+  bool Takes(const Request& request) const {
+    const bool is_dropped =
+        dropped_by.has_value() && request.generation >= *dropped_by;
+    return IsUsable() && !is_dropped &&
+           report->service == request.inbound.service &&
+           !request.excluded_vms.contains(vm);
+  }
 };
 
 // An attempt that ended without a result.
--- a/burdockhill/src/entry/membership.cc
+++ b/burdockhill/src/entry/membership.cc
@@ -152,6 +152,7 @@
     m_peers->Connect(vm.name, vm.peer_address);
   }
   m_board->listed_entries = std::max<int64_t>(1, entries);
+  RecordDroppedUpstreams();
   // The list lags: an agent that is missing from it is kept while it is up.
   std::vector<VmName> lost;
   for (const auto& [name, view] : m_board->upstreams) {
@@ -164,6 +165,21 @@
   }
 }
 
+void Membership::RecordDroppedUpstreams() {
+  if (m_board->configuration == nullptr) return;
+  std::set<VmName> configured;
+  for (const auto& [name, upstream] : m_board->configuration->upstreams) {
+    configured.insert(upstream.vm);
+  }
+  for (auto& [vm, view] : m_board->upstreams) {
+    if (configured.contains(vm)) {
+      view.dropped_by.reset();
+    } else if (!view.dropped_by.has_value()) {
+      view.dropped_by = m_board->in_force;
+    }
+  }
+}
+
 void Membership::CheckLiveness(UpstreamView* view) {
   const TimePoint now = m_board->now;
   if (view->state == PeerState::kUp) {
--- a/burdockhill/src/entry/membership.h
+++ b/burdockhill/src/entry/membership.h
@@ -26,6 +26,8 @@
  private:
   void RefreshVmList();
   void ApplyVmList();
+  // Notes which upstreams the configuration in force has dropped.
+  void RecordDroppedUpstreams();
   void CheckLiveness(UpstreamView* view);
 
   EntryBlackboard* m_board;
--- a/burdockhill/src/entry/placement.cc
+++ b/burdockhill/src/entry/placement.cc
@@ -164,8 +164,7 @@
   std::vector<Scored> local;
   std::vector<Scored> remote;
   for (auto& [vm, view] : m_board->upstreams) {
-    if (!view.IsUsable() || request.excluded_vms.contains(vm)) continue;
-    if (view.report->service != request.inbound.service) continue;
+    if (!view.Takes(request)) continue;
     const double load =
         request.inbound.plain ? CallLoad(view) : DecodeLoad(view);
     if (load < 0.0) continue;
--- a/burdockhill/src/entry/prefill_dispatch.cc
+++ b/burdockhill/src/entry/prefill_dispatch.cc
@@ -64,7 +64,6 @@
   UpstreamView* best = nullptr;
   Duration best_time{0};
   for (auto& [vm, view] : m_board->upstreams) {
-    if (request->excluded_vms.contains(vm)) continue;
     const std::optional<Duration> time = EstimateTimeToReady(view, *request);
     if (!time.has_value()) continue;
     if (best == nullptr || *time < best_time) {
@@ -101,9 +100,7 @@
 
 std::optional<Duration> PrefillDispatch::EstimateTimeToReady(
     const UpstreamView& view, const Request& request) const {
-  if (!view.IsUsable() || view.report->service != request.inbound.service) {
-    return std::nullopt;
-  }
+  if (!view.Takes(request)) return std::nullopt;
   // KV caches are not transferred between regions, so the prefill runs in the
   // region of the decode slot.
   const EntryAttempt* decode = m_board->attempts.Find(*request.decode_attempt);
