Own path: the table of changes requires that each change is in force

Evidence: with the first token's limit taken from the configuration in force instead of the admitted one, as a trial, no pair failed: the change of time-outs was invalid and was ignored. It lacked the prefix of its route.

Why it works: a change that does not come into force fails its pairs.

--- a/tests/entry_test_configuration_changes.cc
+++ b/tests/entry_test_configuration_changes.cc
@@ -205,6 +205,7 @@
   std::pair<VmName, AttemptId> last_attempt;
   std::set<VmName> other_vms;  // That have got other requests.
   Callers callers{&m_clock};
+  Generation InForce() const { return m_core.Board().in_force; }
   size_t OpenRequests() const { return m_core.Board().requests.Size(); }
   size_t OpenAttempts() const { return m_core.Board().attempts.Size(); }
   int64_t TeamRequests() const {
@@ -383,13 +384,15 @@
       {"time-outs up", {[](Resources* r) {
          Set("RoutingPolicy", "default", R"({"first_token_limit_ms":6000})")(r);
          Set("PlainService", "plain",
-             R"({"timeout_ms":6000,"routes":[{"repeatable":true}]})")(r);
+             R"({"timeout_ms":6000,"routes":[{"path_prefix":"/","repeatable":true}]})")(
+             r);
          Set("PlainService", "once", R"({"timeout_ms":6000})")(r);
        }}},
       {"time-outs down", {[](Resources* r) {
          Set("RoutingPolicy", "default", R"({"first_token_limit_ms":1000})")(r);
          Set("PlainService", "plain",
-             R"({"timeout_ms":1000,"routes":[{"repeatable":true}]})")(r);
+             R"({"timeout_ms":1000,"routes":[{"path_prefix":"/","repeatable":true}]})")(
+             r);
          Set("PlainService", "once", R"({"timeout_ms":1000})")(r);
        }}},
       {"team added", {Set("Team", "second", other_key)}},
@@ -491,6 +494,7 @@
     if (!change.is_same_version) ++generation;
     play.Apply(generation, written);
     if (!change.is_same_version) now = written;
+    require(play.InForce() == Generation(generation), "change not in force");
   }
   if (state.is_admitted) {
     require(play.Ours().ends == 0, "ended by the change");
