The share of retries is the one of the deployment

Callers saw nothing so far: the default of 20 percent was the ratio of all deployments known.

Cause: the template of an entry's settings passed the window of the budget and not its ratio, since retry_percent is a whole number and the template cannot compute.

Evidence: GatewayRetryBudget SettingsHoldTheRatioAsANumberOrInPercent; the key was unknown before, and settings with an unknown key are refused.

The new key retry_ratio holds the number as the platform writes it. Settings with retry_percent, or with neither, are read as before.

--- a/burdockhill/src/gateway/settings.cc
+++ b/burdockhill/src/gateway/settings.cc
@@ -24,6 +24,17 @@
   }
 }
 
+// Reads a fraction from 0 to 1.
+void ReadShare(FieldReader* reader, const char* name, double* share) {
+  const nlohmann::json* field = reader->RawField(name, Presence::kOptional);
+  if (field == nullptr) return;
+  if (field->is_number() && *field >= 0 && *field <= 1) {
+    *share = field->get<double>();
+  } else {
+    reader->AddError(name, "must be a number from 0 to 1");
+  }
+}
+
 // Reads addresses of entries and keeps only their IP numbers.
 void ReadSeeds(FieldReader* reader, std::vector<std::string>* seeds) {
   std::vector<std::string> addresses;
@@ -75,6 +86,7 @@
     int64_t percent = kPercent / 5;
     reader.Read("retry_percent", Presence::kOptional, 0, kPercent, &percent);
     out.retry_limits.ratio = static_cast<double>(percent) / kPercent;
+    ReadShare(&reader, "retry_ratio", &out.retry_limits.ratio);
     reader.ReadMilliseconds("retry_window_ms", Presence::kOptional,
                             &out.retry_limits.window);
     reader.ReadMilliseconds("drain_time_ms", Presence::kOptional,
--- a/tests/gateway_test_retry_budget.cc
+++ b/tests/gateway_test_retry_budget.cc
@@ -75,7 +75,10 @@
 
   // The budget of the service allows this many retries from now on.
   void AllowRetries(const std::string& service, int retries) {
-    m_board.retry_budget.SetLimits({0, seconds(10), retries});
+    RetryBudget::Limits limits;
+    limits.ratio = 0;
+    limits.reserve = retries;
+    m_board.retry_budget.SetLimits(limits);
     CHECK(!m_board.retry_budget.TrySpend(ServiceName(service), m_clock.Now(),
                                          retries + 1));
   }
@@ -234,3 +237,27 @@
   LONGS_EQUAL(2, CountOpen(calls));
   LONGS_EQUAL(3, CountOpen(callers));
 }
+
+TEST(GatewayRetryBudget, SettingsHoldTheRatioAsANumberOrInPercent) {
+  const std::string common =
+      R"("role":"entry","vm":"10.0.0.1","zone":"z","region":"r",)"
+      R"("store":"10.0.0.9:1","callers":"10.0.0.1:80",)"
+      R"("readiness":"10.0.0.1:81","peers":"10.0.0.1:82","peer_port":82,)"
+      R"("peer_key":"0123456789abcdef")";
+  const auto parse = [&](const std::string& more) {
+    FieldErrors errors;
+    return ParseGatewaySettings("{" + common + more + "}", &errors);
+  };
+  const auto with_ratio = parse(R"(,"retry_ratio":0.25)");
+  CHECK(with_ratio.has_value());
+  DOUBLES_EQUAL(0.25, with_ratio->retry_limits.ratio, 0.001);
+  const auto former = parse(R"(,"retry_percent":30,"retry_window_ms":5000)");
+  CHECK(former.has_value());
+  DOUBLES_EQUAL(0.3, former->retry_limits.ratio, 0.001);
+  CHECK(parse("").has_value());
+  CHECK(parse(R"(,"retry_ratio":0)").has_value());
+  for (const char* wrong : {R"(,"retry_ratio":1.5)", R"(,"retry_ratio":"0.2")",
+                            R"(,"retry_ratio":-0.1)"}) {
+    CHECK_FALSE(parse(wrong).has_value());
+  }
+}
