Emulated deployments count the retries that upstreams see

RetryLedger checks the rule itself: over all entries and every window, arrivals beyond the first of each request against the share of the requests in the best of three windows, and the slack. It counts rejected calls, and all prompts but the first that is accepted.

--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -443,6 +443,7 @@
       10.0 * static_cast<double>(m_options.tokens_per_event),
       130.0 * static_cast<double>(m_options.tokens_per_event)));
   const auto entry = static_cast<int>(m_random.UniformBelow(m_entries.size()));
+  m_counts.stream_retries.CountRequest(m_clock.Now());
   Call(id, entry,
        "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
            "\r\nX-Token-Counts: " + std::to_string(prompt) + ",7930" +
@@ -463,6 +464,7 @@
 }
 
 void GatewayDeployment::SendPlainRequest(const std::string& id, int entry) {
+  m_counts.plain_retries.CountRequest(m_clock.Now());
   Call(id, entry,
        "POST /plain/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
            "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
--- a/emulation/model_runner_fake.cc
+++ b/emulation/model_runner_fake.cc
@@ -77,20 +77,25 @@
     return Respond(id, http::kOk, "", "");
   }
   if (head.target == "/-/order") return HandleRoleOrder(id, body);
-  m_rate.Count(m_clock->Now(), request_id);
+  const TimePoint now = m_clock->Now();
+  m_rate.Count(now, request_id);
   const std::string expected = HeaderValue(head, "X-Expect-Instance");
   if (!m_options.name.empty() && !expected.empty() &&
       expected != m_options.name) {
+    m_counts->stream_retries.CountArrival(request_id, now);
     return Respond(id, kWrongRunnerStatus, request_id, "", /*not_run=*/true);
   }
   if (m_is_changing_role) {
+    m_counts->stream_retries.CountArrival(request_id, now);
     return Respond(id, http::kUnavailable, request_id, "", /*not_run=*/true);
   }
   if (HeaderValue(head, "X-Stage") == "prefill") {
+    m_counts->stream_retries.CountPrefill(request_id, now);
     m_queued_prompts.push_back(
         {id, FirstNumberInHeader(head, "X-Token-Counts"), request_id});
     return StartNextPrefill();
   }
+  m_counts->stream_retries.CountArrival(request_id, now);
   StartDecode(id, head);
 }
 
--- a/emulation/model_runner_fake.h
+++ b/emulation/model_runner_fake.h
@@ -10,6 +10,7 @@
 #include "burdockhill/src/peer/message.h"
 #include "emulation/event_queue.h"
 #include "emulation/request_rate.h"
+#include "emulation/retry_ledger.h"
 
 namespace burdockhill::emulation {
 
@@ -23,6 +24,8 @@
       starts_by_request;  // Number of starts, by request id.
   int kv_handles_consumed = 0;
   int prompts_computed = 0;  // By prefill runners.
+  RetryLedger stream_retries;
+  RetryLedger plain_retries;
 };
 
 // A model engine that serves the platform's calls. A prefill runner computes
--- a/emulation/plain_runner_fake.h
+++ b/emulation/plain_runner_fake.h
@@ -35,6 +35,7 @@
     const std::string* request = head.headers.Find("X-Request-Id");
     if (request == nullptr) return;
     m_rate.Count(m_clock->Now(), *request);
+    m_counts->plain_retries.CountArrival(*request, m_clock->Now());
     if (m_clock->Now() < m_paused_until) return Refuse(id, *request);
     ++m_counts->starts_by_request[*request];
     constexpr Duration kWork = std::chrono::milliseconds(30);
