A test shows which repeats are free of the retry budget

A call is given back to the budget only if its connection was never made, and nothing is written before. The test passes on the code as it was.

--- a/tests/gateway_test_retry_budget.cc
+++ b/tests/gateway_test_retry_budget.cc
@@ -261,3 +261,24 @@
     CHECK_FALSE(parse(wrong).has_value());
   }
 }
+
+TEST(GatewayRetryBudget, OnlyACallWithoutAConnectionIsRepeatedFreely) {
+  for (const bool connects : {false, true}) {
+    AllowRetries("plain", 0);
+    const SocketId caller = Post(connects ? "/safe/a" : "/safe/b");
+    SocketId call = m_sockets.OpenTo(kPlainOne).empty()
+                        ? m_sockets.OpenTo(kPlainTwo).back()
+                        : m_sockets.OpenTo(kPlainOne).back();
+    LONGS_EQUAL(0, m_sockets.GetConnection(call).written.size());
+    if (connects) {
+      m_sockets.CompleteConnect(call);
+      CHECK(!m_sockets.GetConnection(call).written.empty());
+    }
+    m_sockets.Fail(call);
+    const size_t repeats =
+        m_sockets.OpenTo(kPlainOne).size() + m_sockets.OpenTo(kPlainTwo).size();
+    LONGS_EQUAL(connects ? 0 : 1, repeats);
+    m_sockets.Fail(caller);
+    AdvanceTime(seconds(3));
+  }
+}
