Soak: with the budget, half of the upstreams fall silent at once

Routes allow four attempts and silences last up to 2.8 s in class budget, so that streams are repeated.

--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -24,7 +24,9 @@
 constexpr Duration kReplaceTime = std::chrono::milliseconds(400);
 constexpr Duration kMinSilence = std::chrono::milliseconds(700);
 constexpr uint64_t kMaxMoreSilenceMs = 600;
+constexpr Duration kMoreSilence = std::chrono::milliseconds(1500);
 constexpr uint64_t kMaxHeadsToCut = 4;
+constexpr int kMoreAttempts = 4;
 constexpr int64_t kFirstBorn = 1000;
 constexpr int64_t kIdleLimitsMs[] = {2000, 6000, 3000, 2500, 8000};
 
@@ -56,16 +58,17 @@
   json routes = json::array();
   const auto add = [&](const std::string& path, const char* kind,
                        bool resumable, const char* service) {
-    routes.push_back({{"name", path},
-                      {"host", "h"},
-                      {"pathPrefix", path},
-                      {"kind", kind},
-                      {"timeoutMs", 6000},
-                      {"targetLatencyMs", 900},
-                      {"targetGapMs", 300},
-                      {"maxAttempts", 2},
-                      {"resumable", resumable},
-                      {"service", service}});
+    routes.push_back(
+        {{"name", path},
+         {"host", "h"},
+         {"pathPrefix", path},
+         {"kind", kind},
+         {"timeoutMs", 6000},
+         {"targetLatencyMs", 900},
+         {"targetGapMs", 300},
+         {"maxAttempts", m_environment.Plays("budget") ? kMoreAttempts : 2},
+         {"resumable", resumable},
+         {"service", service}});
   };
   add("/once/", "unsafe", false, "plain");
   add("/safe/", "safe", false, "plain");
@@ -297,6 +300,17 @@
   RegisterPlain(kPlainServices - 1, "ready");
 }
 
+// With the budget, of half of the other upstreams too, and for longer.
+void Upstreams::Silence(FaultProxy* proxy, TimePoint until) {
+  proxy->SilenceUntil(until);
+  if (!m_environment.Plays("budget")) return;
+  for (const auto& other : m_proxies) {
+    if (m_random.UniformBelow(2) == 0) {
+      other->SilenceUntil(until + kMoreSilence);
+    }
+  }
+}
+
 // Returns false if the run plays no such fault, or it is another one's turn.
 bool Upstreams::InjectFaultOfClass() {
   const bool is_engine = m_random.UniformBelow(2) == 0;
@@ -319,8 +333,8 @@
     case 3:
       if (!m_environment.Plays("silence")) return false;
       ++m_event_counts.silences;
-      proxy.SilenceUntil(m_environment.clock->Now() + kMinSilence +
-                         std::chrono::milliseconds(number));
+      Silence(&proxy, m_environment.clock->Now() + kMinSilence +
+                          std::chrono::milliseconds(number));
       return true;
     default:
       return false;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -88,6 +88,7 @@
   std::string EngineHost(int i) const { return m_environment.Host(1, 1 + i); }
   std::string PlainHost(int i) const { return m_environment.Host(3, 1 + i); }
   bool InjectFaultOfClass();
+  void Silence(FaultProxy* proxy, TimePoint until);
   // Replaces an engine by a process of another software version.
   void Release();
   void FinishRelease(int i, bool keeps_name);
