One ledger of retries for the emulation and the soak

The soak counted arrivals beyond the first by code of its own. It feeds the ledger of the emulation now, which looks at the windows that begin with a retry too, as the soak's check did. The check's bound is the same.

Idle connections to the metrics page are closed after their time, as those to the readiness page are; found by the review.

--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -213,6 +213,7 @@
     context.CheckTimeouts(now);
     server.CheckTimeouts(now);
     readiness.CheckTimeouts(now);
+    metrics.CheckTimeouts(now);
     ReloadSettings(path, &context.log, [&](const GatewaySettings& reloaded) {
       board.retry_budget.SetLimits(reloaded.retry_limits);
     });
--- a/emulation/retry_ledger.h
+++ b/emulation/retry_ledger.h
@@ -33,19 +33,25 @@
   // before it, whichever has most.
   double WorstExcess(Duration window, double ratio) const {
     double worst = 0;
-    for (const TimePoint end : m_retries) {
-      const int64_t requests =
-          std::max({CountIn(m_requests, end, window),
-                    CountIn(m_requests, end - window / 2, window),
-                    CountIn(m_requests, end - window, window)});
-      worst =
-          std::max(worst, static_cast<double>(CountIn(m_retries, end, window)) -
-                              ratio * static_cast<double>(requests));
+    for (const TimePoint at : m_retries) {
+      // The windows that end and begin with this retry.
+      for (const TimePoint end : {at, at + window - Duration(1)}) {
+        worst = std::max(worst, ExcessAt(end, window, ratio));
+      }
     }
     return worst;
   }
 
  private:
+  double ExcessAt(TimePoint end, Duration window, double ratio) const {
+    const int64_t requests =
+        std::max({CountIn(m_requests, end, window),
+                  CountIn(m_requests, end - window / 2, window),
+                  CountIn(m_requests, end - window, window)});
+    return static_cast<double>(CountIn(m_retries, end, window)) -
+           ratio * static_cast<double>(requests);
+  }
+
   // Those later than `end` - `window`, up to `end`. In the order of time.
   static int64_t CountIn(const std::vector<TimePoint>& times, TimePoint end,
                          Duration window) {
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -106,9 +106,8 @@
               << " new ones began), " << m_late_answers << " of "
               << m_late_requests << " late requests answered, "
               << m_kept_requests << " on kept connections (" << m_kept_crossings
-              << " crossed the close), " << m_extra_arrivals.str()
-              << m_mixed_streams << " mixed, " << m_violations
-              << " violations\n";
+              << " crossed the close), " << m_retries.str() << m_mixed_streams
+              << " mixed, " << m_violations << " violations\n";
     return m_violations;
   }
 
@@ -306,9 +305,8 @@
     }
   }
 
-  // The arrivals at a service beyond the first of each request and the first
-  // that only computes its prompt, in the order of time.
-  std::vector<TimePoint> ExtraArrivals(bool plain) {
+  // What a service got, in the order of time.
+  emulation::RetryLedger CountArrivals(bool plain) {
     std::vector<emulation::RequestRate::Arrival> arrivals;
     for (const emulation::RequestRate* rate : m_upstreams->Rates(plain)) {
       arrivals.insert(arrivals.end(), rate->Arrivals().begin(),
@@ -316,53 +314,36 @@
     }
     std::stable_sort(arrivals.begin(), arrivals.end(),
                      [](const auto& a, const auto& b) { return a.at < b.at; });
-    std::set<std::string> computed;
-    std::set<std::string> arrived;
-    std::vector<TimePoint> extra;
-    for (const auto& arrival : arrivals) {
-      const bool is_first = (arrival.computes_prompt &&
-                             computed.insert(arrival.request).second) ||
-                            arrived.insert(arrival.request).second;
-      if (!is_first) extra.push_back(arrival.at);
-    }
-    return extra;
-  }
-
-  // In each window that begins or ends with an extra arrival.
-  void CheckBudget(bool plain) {
-    const std::vector<TimePoint> extra = ExtraArrivals(plain);
     std::vector<TimePoint> sent;
     for (const auto& [id, caller] : m_callers.All()) {
       if (caller->IsPlain() == plain) sent.push_back(caller->sent_at);
     }
     std::sort(sent.begin(), sent.end());
-    const auto count = [](const std::vector<TimePoint>& times, TimePoint from) {
-      return std::lower_bound(times.begin(), times.end(),
-                              from + kBudgetWindow) -
-             std::lower_bound(times.begin(), times.end(), from);
-    };
-    double most_used = 0;
-    std::ostringstream worst;
-    for (const TimePoint at : extra) {
-      for (const TimePoint from : {at, at - kBudgetWindow + Duration(1)}) {
-        const auto requests =
-            std::max({count(sent, from), count(sent, from - kBudgetWindow / 2),
-                      count(sent, from - kBudgetWindow)});
-        const double allowed = kBudgetRatio * static_cast<double>(requests) +
-                               kBudgetSlackOfEntry * m_environment.entries +
-                               kBudgetSlack;
-        const auto arrivals = count(extra, from);
-        const double used = static_cast<double>(arrivals) / allowed;
-        if (used <= most_used) continue;
-        most_used = used;
-        worst.str("");
-        worst << arrivals << " extra arrivals of " << allowed << " at the "
-              << (plain ? "plain services" : "engines");
+    emulation::RetryLedger ledger;
+    for (const TimePoint at : sent) ledger.CountRequest(at);
+    for (const auto& arrival : arrivals) {
+      if (arrival.computes_prompt) {
+        ledger.CountPrefill(arrival.request, arrival.at);
+      } else {
+        ledger.CountArrival(arrival.request, arrival.at);
       }
     }
-    if (!extra.empty()) m_extra_arrivals << worst.str() << ", ";
-    if (most_used > 1 && m_environment.Plays("budget")) {
-      Report("BUDGET: " + worst.str() + " in 10 s");
+    return ledger;
+  }
+
+  void CheckBudget(bool plain) {
+    const emulation::RetryLedger ledger = CountArrivals(plain);
+    if (ledger.RetryCount() == 0) return;
+    const double excess = ledger.WorstExcess(kBudgetWindow, kBudgetRatio);
+    const int slack =
+        kBudgetSlackOfEntry * m_environment.entries + kBudgetSlack;
+    std::ostringstream text;
+    text << ledger.RetryCount() << " retries at the "
+         << (plain ? "plain services" : "engines") << " (" << excess
+         << " beyond the share in a window, of " << slack << ")";
+    m_retries << text.str() << ", ";
+    if (excess > slack && m_environment.Plays("budget")) {
+      Report("BUDGET: " + text.str());
     }
   }
 
@@ -403,7 +384,7 @@
   int m_take_ups = 0;
   int m_late_requests = 0;  // That were sent in planned stops.
   int m_late_answers = 0;
-  std::ostringstream m_extra_arrivals;
+  std::ostringstream m_retries;
   int m_kept_requests = 0;
   int m_kept_crossings = 0;
   int m_mixed_streams = 0;
