Retries and refused ones are counted by service

The logs could not tell whether retries piled up: a retry that the budget refused left no line, and nothing counted those that were paid for. Now burdockhill_retries_total and burdockhill_retries_refused_total count them by service, and retry_refused says what this entry has counted in the budget's window. Streams and plain requests pay by one function.

--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -83,6 +83,29 @@
       LabelsFor(routed.service, is_retry ? "retry" : "first"));
 }
 
+bool PayForRetries(EntryBoard* board, const RoutedRequest& routed,
+                   int retries) {
+  if (retries == 0) return true;
+  const TimePoint now = board->clock->Now();
+  if (board->retry_budget.TrySpend(routed.service, now, retries)) {
+    board->metrics.IncrementCounter("burdockhill_retries_total",
+                                    LabelsFor(routed.service),
+                                    static_cast<uint64_t>(retries));
+    return true;
+  }
+  const RetryBudget::Usage usage =
+      board->retry_budget.UsageOf(routed.service, now);
+  board->metrics.IncrementCounter("burdockhill_retries_refused_total",
+                                  LabelsFor(routed.service));
+  board->log->Write("retry_refused",
+                    {{"request", routed.request.id},
+                     {"service", routed.service.Value()},
+                     {"wanted", static_cast<int64_t>(retries)},
+                     {"requests", static_cast<int64_t>(usage.requests)},
+                     {"retries", static_cast<int64_t>(usage.retries)}});
+  return false;
+}
+
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
                  Duration retry_after, std::string_view reason) {
   const ErrorResponse& answer = ErrorResponseFor(kind);
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -91,6 +91,11 @@
 void CountLimitedCall(EntryBoard* board, const RoutedRequest& routed,
                       const UpstreamName& upstream, bool is_retry);
 
+// Takes this many retries of the request from the budget of its service; false
+// if that has fewer. Counts them, and logs a refusal with what the budget's
+// window holds.
+bool PayForRetries(EntryBoard* board, const RoutedRequest& routed, int retries);
+
 // Sends the caller an error response, logs it and counts it. If `retry_after`
 // is zero, a 503 response carries the default of `kind`.
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -134,7 +134,7 @@
     return EndUnplaced(request);
   }
   if (std::exchange(request->needs_retry_budget, false) &&
-      !m_board->retry_budget.TrySpend(routed.service, m_board->clock->Now())) {
+      !PayForRetries(m_board, routed, 1)) {
     return EndUnplaced(request);
   }
   if (!request->retry_reason.empty()) {
--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -251,8 +251,8 @@
 }
 
 bool StreamCalls::PayForRetries(Stream* stream, int retries) {
-  const bool paid = m_board->retry_budget.TrySpend(
-      stream->routed.service, m_board->clock->Now(), retries);
+  const bool paid =
+      burdockhill::PayForRetries(m_board, stream->routed, retries);
   if (paid) stream->calls.RecordPaid(retries);
   return paid;
 }
--- a/burdockhill/src/routing/retry_budget.cc
+++ b/burdockhill/src/routing/retry_budget.cc
@@ -33,6 +33,12 @@
   return HasRoom(CurrentWindow(service, now), 1);
 }
 
+RetryBudget::Usage RetryBudget::UsageOf(const ServiceName& service,
+                                        TimePoint now) {
+  const Window& window = CurrentWindow(service, now);
+  return {window.requests.size(), window.retries.size()};
+}
+
 bool RetryBudget::TrySpend(const ServiceName& service, TimePoint now,
                            int retries) {
   if (retries == 0) return true;
--- a/burdockhill/src/routing/retry_budget.h
+++ b/burdockhill/src/routing/retry_budget.h
@@ -28,6 +28,12 @@
   void CountRequest(const ServiceName& service, TimePoint now);
   // Whether the budget allows a retry now.
   bool Allows(const ServiceName& service, TimePoint now);
+  // What this node has counted for the service within the window.
+  struct Usage {
+    size_t requests = 0;
+    size_t retries = 0;
+  };
+  Usage UsageOf(const ServiceName& service, TimePoint now);
   // Records the retries and returns true, or returns false if the budget does
   // not allow all of them.
   bool TrySpend(const ServiceName& service, TimePoint now, int retries = 1);
--- a/tests/gateway_test_retry_budget.cc
+++ b/tests/gateway_test_retry_budget.cc
@@ -282,3 +282,19 @@
     AdvanceTime(seconds(3));
   }
 }
+
+TEST(GatewayRetryBudget, RefusedRetriesShowWhatTheWindowHolds) {
+  AllowRetries("plain", 1);
+  RoutedRequest routed;
+  routed.service = ServiceName("plain");
+  CHECK(PayForRetries(&m_board, routed, 1));
+  CHECK_FALSE(PayForRetries(&m_board, routed, 1));
+  LONGS_EQUAL(1, m_log.Count("retry_refused"));
+  LONGS_EQUAL(1, m_log.last_number["retries"]);
+  LONGS_EQUAL(50, m_log.last_number["requests"]);
+  const std::string metrics = m_board.metrics.PrometheusText();
+  STRCMP_CONTAINS("burdockhill_retries_total{service=\"plain\"} 1",
+                  metrics.c_str());
+  STRCMP_CONTAINS("burdockhill_retries_refused_total{service=\"plain\"} 1",
+                  metrics.c_str());
+}
