--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -251,8 +251,8 @@
 }
 
 bool StreamCalls::PayForRetries(Stream* stream, int retries) {
-  const bool paid = m_board->retry_budget.TrySpend(
-      stream->routed.service, m_board->clock->Now(), retries);
+  const bool paid =
+      burdockhill::PayForRetries(m_board, stream->routed, retries);
   if (paid) stream->calls.RecordPaid(retries);
   return paid;
 }
@@ -331,6 +331,10 @@
                     (!stream->kv.has_value() ||
                      AreSameVersion(upstream->version, stream->called_version));
   if (!fits) return OnDecodeRejected(stream, "engine has another version");
+  if (stream->kv.has_value() &&
+      m_reservations->IsOutdated(stream->decode_attempt)) {
+    return OnDecodeRejected(stream, "engine may have restarted");
+  }
   if (!PayForRetries(stream, stream->calls.DueBeforeDecode())) {
     return FailUnpaid(stream);
   }
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -44,7 +44,16 @@
   stream->response_head = head;
   if (stream->phase != Phase::kDecoding || metadata.not_run) return true;
   stream->may_have_run = true;
-  if (is_stream) ForwardHead(stream, head);
+  if (!is_stream) return true;
+  if (stream->version.has_value() &&
+      m_take_ups.HasRestarted(stream->routed, stream->called_version)) {
+    m_board->connections->Cancel(id);
+    m_exchanges_by_call.Erase(id);
+    stream->call = http::CallId();
+    OnDecodeBroken(stream, "engine may have restarted");
+    return true;
+  }
+  ForwardHead(stream, head);
   return true;
 }
 
@@ -52,7 +61,13 @@
   ReplaceSilentCall(stream);
   stream->is_forwarding = true;
   stream->events.BeginResponse();
-  if (!stream->version.has_value()) stream->version = stream->called_version;
+  if (!stream->version.has_value()) {
+    // An unknown version fits no engine that could go on with the stream.
+    stream->version =
+        m_take_ups.HasRestarted(stream->routed, stream->called_version)
+            ? SoftwareVersion()
+            : stream->called_version;
+  }
   if (std::exchange(stream->head_sent, true)) return;
   http::Head response = head;
   http::RemoveConnectionHeaders(&response.headers);
@@ -292,6 +307,7 @@
 void StreamCalls::OnDecodeBroken(Stream* stream, std::string_view reason) {
   RoutedRequest& routed = stream->routed;
   const TimePoint now = m_board->clock->Now();
+  RecordPossibleRun(stream);
   stream->excluded_decode_engines.insert(stream->decode_engine);
   ReleaseAttempt(stream);
   if (!MayMoveOn(stream)) {
@@ -306,10 +322,26 @@
   ReserveDecodeEngine(stream);
 }
 
+void StreamCalls::RecordPossibleRun(Stream* stream) {
+  stream->possible_runs.emplace(stream->routed.last_upstream,
+                                stream->routed.last_upstream_started_at_ms);
+}
+
+bool StreamCalls::HasAttemptLeft(const Stream& stream) const {
+  const auto runs = std::count_if(
+      stream.possible_runs.begin(), stream.possible_runs.end(),
+      [&](const auto& run) {
+        const RegisteredUpstream* engine = m_board->upstreams.Find(run.first);
+        return engine != nullptr && engine->started_at_ms == run.second &&
+               !m_board->upstreams.IsSuperseded(*engine);
+      });
+  return runs < stream.routed.route.max_attempts;
+}
+
 bool StreamCalls::MayMoveOn(Stream* stream) {
   const RoutedRequest& routed = stream->routed;
   return routed.route.kind == RequestKind::kResumableStream &&
-         stream->decode_calls < kMaxDecodeCalls &&
+         HasAttemptLeft(*stream) && stream->decode_calls < kMaxDecodeCalls &&
          m_board->clock->Now() < routed.deadline &&
          !IsBarred(m_board, routed) && HasNextEngine(*stream) &&
          PayForRetries(stream, stream->calls.DueBeforeDecode());
--- a/burdockhill/src/gateway/take_up.h
+++ b/burdockhill/src/gateway/take_up.h
@@ -47,6 +47,10 @@
   // Ignored if there is no search for the exchange.
   void Cancel(http::ExchangeId id);
 
+  // Whether the upstream of the latest call is registered as another process by
+  // now. That one may have answered already, so the version is not certain.
+  bool HasRestarted(const RoutedRequest& routed,
+                    const SoftwareVersion& version) const;
   // An upstream of this version has sent the first event of the answer. Call
   // before the caller gets it, so that the caller can take the stream up as
   // soon as it has one.
