Streams that have begun are reserved before new ones

Cause: a stream that is taken up, or moved, can go on only at engines of its version, which are few during a release. It waited there in one line with new streams, which fit any engine, and was refused for want of room or time.

AStreamThatHasBegunIsReservedBeforeNewOnes failed before: priority 3, that of its route.

Why it works: the agents' queues order by target and priority. A stream that has begun has the highest one; its caller holds a part of the answer.

--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -18,6 +18,12 @@
   return static_cast<uint8_t>(std::clamp(route.priority, 0, kLowestPriority));
 }
 
+// A stream that has begun goes before those that have not: its caller has a
+// part of the answer, and fewer engines can go on with it.
+uint8_t ReservationPriority(const Route& route, bool has_begun) {
+  return has_begun ? 0 : EnginePriority(route);
+}
+
 }  // namespace
 
 void StreamCalls::ReserveDecodeEngine(Stream* stream) {
@@ -38,7 +44,8 @@
   requirement.expected_output_tokens = ExpectedOutputTokens(routed.request);
   requirement.max_wait = budget.max_wait;
   requirement.target_left = budget.target_left;
-  requirement.priority = EnginePriority(routed.route);
+  requirement.priority =
+      ReservationPriority(routed.route, stream->version.has_value());
   requirement.excluded_engines = stream->excluded_decode_engines;
   requirement.excluded_engines.merge(m_permits->Exhausted(routed.service));
   requirement.preferred_zone = m_board->zone;
@@ -230,7 +237,8 @@
       BudgetFor(*stream, StreamStage::kPrefillReservation);
   requirement.max_wait = budget.max_wait;
   requirement.target_left = budget.target_left;
-  requirement.priority = EnginePriority(routed.route);
+  requirement.priority =
+      ReservationPriority(routed.route, stream->version.has_value());
   requirement.excluded_engines = stream->excluded_prefill_engines;
   requirement.excluded_engines.merge(m_permits->Exhausted(routed.service));
   requirement.version = RequiredVersion(*stream, EngineRole::kPrefill);
--- a/tests/gateway_test_out_of_step.cc
+++ b/tests/gateway_test_out_of_step.cc
@@ -354,3 +354,25 @@
     }
   }
 }
+
+TEST(OutOfStep, AStreamThatHasBegunIsReservedBeforeNewOnes) {
+  RoutingConfiguration configuration = m_board.routes.Configuration();
+  configuration.generation = Generation(2);
+  for (Route& route : configuration.routes) route.priority = 3;
+  m_board.routes.Apply(configuration);
+  const auto priority_of_latest = [&](auto request) {
+    int priority = -1;
+    for (const auto& [vm, message] : m_peer_link.sent) {
+      const auto* found = std::get_if<decltype(request)>(&message);
+      if (found != nullptr) priority = found->priority;
+    }
+    return priority;
+  };
+  Post("/resume/x");
+  LONGS_EQUAL(3, priority_of_latest(ReserveDecode()));
+  const SocketId caller = TakeUp("/resume/x");
+  LONGS_EQUAL(0, priority_of_latest(ReserveDecode()));
+  Grant("10.0.2.2", LatestOf<ReserveDecode>("10.0.2.2"), kFormerStart);
+  LONGS_EQUAL(0, priority_of_latest(ReservePrefill()));
+  m_sockets.Fail(caller);
+}
