--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -512,7 +512,8 @@
     """The project's own programs, started with the commands and the templates of
     the deploy file."""
 
-    BOUNDS = {"graceS": 8, "budgetWindowS": 10, "drainMs": 2500}
+    BOUNDS = {"graceS": 8, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
+              "drainMs": 2500}
 
     def __init__(self, record):
         self.record = record
