--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -11,6 +11,7 @@
 // this time and this many latency targets, if the retry budget allows another.
 constexpr Duration kMinPrefillTimeout = std::chrono::milliseconds(2000);
 constexpr int kPrefillTimeoutTargets = 2;
+constexpr Duration kKvReleaseTimeout = std::chrono::seconds(1);
 
 Duration PrefillTimeout(const Route& route) {
   return std::max(kMinPrefillTimeout,
@@ -182,9 +183,11 @@
   }
   if (stream->kv.has_value()) {
     const KvLocation kv = *std::exchange(stream->kv, std::nullopt);
+    http::CallPolicy policy;
+    policy.timeout = kKvReleaseTimeout;
     m_board->connections->Start(kv.engine_address,
                                 m_board->codec->EncodeKvRelease(kv),
-                                &m_ignored_responses, {});
+                                &m_ignored_responses, policy);
   }
   m_permits->Cancel(stream->permit);
   m_exchanges_by_permit.Erase(stream->permit);
--- a/burdockhill/src/http/connection_pool.cc
+++ b/burdockhill/src/http/connection_pool.cc
@@ -87,6 +87,9 @@
   }
   connection->expects_no_body = request.starts_with(kHeadMethod);
   connection->max_kept_bytes = policy.max_kept_bytes;
+  connection->call_deadline = policy.timeout == Duration(0)
+                                  ? TimePoint()
+                                  : m_clock->Now() + policy.timeout;
   ResetReader(connection);
 }
 
@@ -338,7 +341,10 @@
         !connection.connected && now > connection.connect_deadline;
     const bool stale =
         !connection.call.IsValid() && now > connection.usable_until;
-    if (unconnected || stale) timed_out.push_back(id);
+    const bool overdue = connection.call.IsValid() &&
+                         connection.call_deadline != TimePoint() &&
+                         now > connection.call_deadline;
+    if (unconnected || stale || overdue) timed_out.push_back(id);
   }
   for (const SocketId id : timed_out) Fail(id, CallFailure::kBroken);
 }
--- a/burdockhill/src/http/connection_pool.h
+++ b/burdockhill/src/http/connection_pool.h
@@ -64,6 +64,9 @@
   // are more, and also if the process keeps too much in total and most of it
   // for calls to this address.
   size_t max_kept_bytes = size_t{1} << 20;
+  // From the start of the call to the end of the response. Zero if the receiver
+  // limits the time itself.
+  Duration timeout{0};
 };
 
 // Pool of HTTP/1.1 connections to upstreams. Idle connections are reused until
@@ -91,8 +94,8 @@
   // id that is no longer valid.
   bool WasSent(CallId id) const;
 
-  // Fails connection attempts that exceed their timeout and closes idle
-  // connections that are no longer usable. Call about every 20 ms.
+  // Fails connection attempts and calls that exceed their timeout and closes
+  // idle connections that are no longer usable. Call about every 20 ms.
   void CheckTimeouts(TimePoint now);
 
  private:
@@ -116,6 +119,7 @@
     bool has_response_bytes = false;
     TimePoint usable_until{};
     TimePoint connect_deadline{};
+    TimePoint call_deadline{};  // Zero if the call has none.
   };
   struct Call {
     SocketId socket;
--- a/tests/gateway_test_bytes_without_end.cc
+++ b/tests/gateway_test_bytes_without_end.cc
@@ -145,6 +145,27 @@
   CHECK(m_sockets.GetConnection(upstream).reading);
 }
 
+TEST(UpstreamsWithoutEnd, AReleaseOfKvCacheThatIsNeverAnsweredEnds) {
+  SocketId caller = Post("/stream/x");
+  CHECK(GrantLatest<ReserveDecode>());
+  CHECK(GrantLatest<ReservePrefill>());
+  const SocketId prefill = EstablishTo(kPrefill);
+  m_sockets.Inject(prefill, HttpResponse(200, "X-Request-Id: r1\r\n",
+                                         R"({"kvHandle":"k","tokens":5000})"));
+  SocketId decode = EstablishTo(kDecodeOne);
+  if (!decode.IsValid()) decode = EstablishTo(kDecodeTwo);
+  m_sockets.Inject(decode, HttpResponse(503,
+                                        "X-Request-Id: r1\r\n"
+                                        "X-Not-Executed: 1\r\n",
+                                        ""));
+  m_sockets.Fail(caller);
+  for (const SocketId id : m_sockets.AllOutgoing()) {
+    m_sockets.CompleteConnect(id);
+  }
+  AdvanceTime(seconds(10));
+  LONGS_EQUAL(0, m_sockets.AllOutgoing().size());
+}
+
 TEST_GROUP(StoreWithoutEnd) {
   class Events : public FeedEvents {
    public:
