--- a/burdockhill/src/transport/peer_transport.cc
+++ b/burdockhill/src/transport/peer_transport.cc
@@ -22,7 +22,7 @@
 constexpr Duration kDialCheckInterval = std::chrono::milliseconds(50);
 // The connection is closed when more unsent data is queued, as the peer then
 // does not read.
-constexpr size_t kMaxBacklogBytes = size_t{32} << 20;
+constexpr size_t kMaxBacklogBytes = size_t{8} << 20;
 
 struct Connection {
   Connection(wire::PeerSession::Side side, const std::string& shared_key,
@@ -32,6 +32,7 @@
   wire::PeerSession session;
   VmName dialled;  // Set on the connecting side.
   bool announced = false;
+  BufferCharge receive_charge;
 };
 
 // State of a peer, by VM name.
@@ -47,7 +48,9 @@
 
 }  // namespace
 
-class PeerTransport::Impl : private SocketAcceptor, private SocketEvents {
+class PeerTransport::Impl : private SocketAcceptor,
+                            private SocketEvents,
+                            private BufferOwner {
  public:
   Impl(EventLoop* loop, const Options& options, Random* random)
       : m_sockets(loop), m_options(options), m_random(random) {
@@ -116,8 +119,17 @@
   }
 
   Connection& AddConnection(SocketId id, wire::PeerSession::Side side) {
-    return m_connections.FindOrInsert(id, side, m_options.shared_key,
-                                      HelloWithNewNonce());
+    Connection& connection = m_connections.FindOrInsert(
+        id, side, m_options.shared_key, HelloWithNewNonce());
+    connection.receive_charge.Open(
+        &m_sockets.Buffers(), BufferKind::kPeer,
+        "peer connection " + std::to_string(id.Value()), this,
+        BufferKey(id.Value()));
+    return connection;
+  }
+
+  void OnBufferEvicted(BufferKey key) override {
+    CloseConnection(SocketId(key.Value()));
   }
 
   void Dial(const VmName& vm, TimePoint now) {
@@ -154,6 +166,7 @@
     m_traffic.bytes_received += bytes.size();
     std::vector<Message> messages;
     if (connection->session.Receive(bytes, &messages)) return false;
+    connection->receive_charge.SetBytes(connection->session.BufferedBytes());
     Write(id, connection->session.DrainHandshakeReply());
     if (connection->session.IsEstablished() && !connection->announced &&
         !Announce(id, connection)) {
--- a/burdockhill/src/wire/peer_session.cc
+++ b/burdockhill/src/wire/peer_session.cc
@@ -66,7 +66,8 @@
     const std::string_view rest =
         std::string_view{m_receive_buffer}.substr(start);
     const size_t length = ReadBigEndian(rest.substr(0, kLengthBytes));
-    if (length > kMaxPayloadBytes) return ErrorKind::kBadRequest;
+    const size_t max_length = m_established ? kMaxPayloadBytes : kMaxHelloBytes;
+    if (length > max_length) return ErrorKind::kBadRequest;
     if (rest.size() < kHeaderBytes + length) break;
     const std::error_code error =
         ReceiveFrame(rest.substr(kLengthBytes, kMacBytes),
@@ -75,6 +76,7 @@
     start += kHeaderBytes + length;
   }
   m_receive_buffer.erase(0, start);
+  if (m_receive_buffer.empty()) m_receive_buffer.shrink_to_fit();
   return {};
 }
 
--- a/burdockhill/src/wire/peer_session.h
+++ b/burdockhill/src/wire/peer_session.h
@@ -13,6 +13,8 @@
 
 // Largest payload of a frame that a session accepts.
 inline constexpr size_t kMaxPayloadBytes = size_t{8} << 20;
+// Before the peer is authenticated.
+inline constexpr size_t kMaxHelloBytes = size_t{16} << 10;
 
 // State of one authenticated connection between two peers, without I/O.
 //
@@ -58,6 +60,9 @@
   // Returns the peer's Hello. Valid only if IsEstablished().
   const Hello& Peer() const { return m_peer; }
 
+  // Bytes of a frame that has arrived in part.
+  size_t BufferedBytes() const { return m_receive_buffer.size(); }
+
  private:
   std::error_code ReceiveFrame(std::string_view mac, std::string_view payload,
                                std::vector<Message>* messages);
