--- a/burdockhill/src/base/address.h
+++ b/burdockhill/src/base/address.h
@@ -12,6 +12,7 @@
 struct Address {
   std::string host;
   uint16_t port = 0;
+  bool operator==(const Address&) const = default;
 };
 
 // Parses "host:port". Returns nullopt unless the host is an IPv4 address in
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -133,9 +133,14 @@
 }
 
 bool Gateway::HasStopped(size_t unsent_bytes) {
+  const TimePoint now = m_board->clock->Now();
   const bool idle =
       IsIdle() && !m_board->server->IsReceiving() && unsent_bytes == 0;
-  return m_shutdown.IsOver(m_board->clock->Now(), idle);
+  if (m_shutdown.StopsListening(now, idle) &&
+      !std::exchange(m_stopped_listening, true)) {
+    m_board->server->StopListening();
+  }
+  return m_shutdown.IsOver(now);
 }
 
 void Gateway::DivideConnectionLimits() {
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -54,6 +54,7 @@
   StreamCalls* m_streams;
   Shutdown m_shutdown;
   bool m_idle_connections_closed = false;
+  bool m_stopped_listening = false;
   Generation m_limits_from;  // Of the connection limits in force.
 };
 
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -56,7 +56,12 @@
   Server(Sockets* sockets, const Clock* clock, ServerEvents* events);
 
   // Throws std::runtime_error if the address cannot be listened on.
-  void Listen(const Address& address) { m_sockets->Listen(address, this); }
+  void Listen(const Address& address) {
+    m_address = address;
+    m_sockets->Listen(address, this);
+  }
+  // Serves the connections that are established, and refuses later ones.
+  void StopListening() { m_sockets->StopListening(m_address); }
   // A higher limit applies at once. A lower one applies to requests and waits
   // that begin afterwards: a caller may count on the limits that held when it
   // began to send, and on the idle timeout that held at its last response.
@@ -158,6 +163,7 @@
   Sockets* m_sockets;
   const Clock* m_clock;
   ServerEvents* m_events;
+  Address m_address;
   ServerLimits m_limits;
   bool m_keep_alive_disabled = false;
   uint64_t m_last_exchange_id = 0;
--- a/burdockhill/src/transport/sockets.h
+++ b/burdockhill/src/transport/sockets.h
@@ -50,6 +50,10 @@
   // Throws std::runtime_error if the address cannot be listened on.
   virtual void Listen(const Address& address, SocketAcceptor* acceptor) = 0;
 
+  // Accepts the connections that are established already, then listens on the
+  // address no more: callers that connect later are refused.
+  virtual void StopListening(const Address& address) = 0;
+
   // Starts to connect; OnConnected or OnFailed follows. Returns an invalid id
   // if no socket can be created or the attempt fails at once.
   virtual SocketId Connect(const Address& address, SocketEvents* events) = 0;
--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -59,6 +60,7 @@
   int fd = -1;
   lws* wsi = nullptr;
   SocketEvents* events = nullptr;
+  Address listens_on;  // Of a listening socket.
   std::string output;
   size_t output_start = 0;
   BufferCharge output_charge;
@@ -153,9 +155,25 @@
                                std::to_string(address.port));
     }
     const SocketId id = Adopt(fd, nullptr);
+    m_sockets.Find(id)->listens_on = address;
     m_acceptors[id] = acceptor;
   }
 
+  void StopListening(const Address& address) {
+    const auto found = std::find_if(
+        m_acceptors.begin(), m_acceptors.end(), [&](const auto& item) {
+          return m_sockets.Find(item.first)->listens_on == address;
+        });
+    if (found == m_acceptors.end()) return;
+    const auto [id, acceptor] = *found;
+    const int fd = m_sockets.Find(id)->fd;
+    while (AcceptConnections(fd, acceptor) == kMaxAcceptsPerIteration) {
+    }
+    // Takes effect at once; libwebsockets closes the descriptor only later.
+    shutdown(fd, SHUT_RDWR);
+    Close(id, /*reset=*/false);
+  }
+
   SocketId Connect(const Address& address, SocketEvents* events) {
     const int fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -349,11 +367,13 @@
     return m_sockets.Find(id) == nullptr ? kClose : kKeepOpen;
   }
 
-  void AcceptConnections(int listener, SocketAcceptor* acceptor) {
-    for (int count = 0; count < kMaxAcceptsPerIteration; ++count) {
+  // Returns the number of connections.
+  int AcceptConnections(int listener, SocketAcceptor* acceptor) {
+    int count = 0;
+    for (; count < kMaxAcceptsPerIteration; ++count) {
       const int fd =
           accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-      if (fd < 0) return;
+      if (fd < 0) break;
       SetTcpOptions(fd);
       const SocketId id = Adopt(fd, nullptr);
       if (!id.IsValid()) continue;
@@ -365,6 +385,7 @@
         socket->events = events;
       }
     }
+    return count;
   }
 
   int OnWritable(SocketId id) {
@@ -478,6 +499,9 @@
 void TcpSockets::Listen(const Address& address, SocketAcceptor* acceptor) {
   m_impl->Listen(address, acceptor);
 }
+void TcpSockets::StopListening(const Address& address) {
+  m_impl->StopListening(address);
+}
 SocketId TcpSockets::Connect(const Address& address, SocketEvents* events) {
   return m_impl->Connect(address, events);
 }
--- a/emulation/socket_network_fake.cc
+++ b/emulation/socket_network_fake.cc
@@ -17,6 +17,10 @@
   m_listeners[FormatAddress(address)] = acceptor;
 }
 
+void SocketNetworkFake::StopListening(const Address& address) {
+  m_listeners.erase(FormatAddress(address));
+}
+
 SocketId SocketNetworkFake::Connect(const Address& address,
                                     SocketEvents* events) {
   const SocketId id(++m_last_id);
--- a/emulation/sockets_fake.cc
+++ b/emulation/sockets_fake.cc
@@ -17,6 +17,10 @@
   m_acceptors[FormatAddress(address)] = acceptor;
 }
 
+void SocketsFake::StopListening(const Address& address) {
+  m_acceptors.erase(FormatAddress(address));
+}
+
 SocketId SocketsFake::Connect(const Address& address, SocketEvents* events) {
   if (!m_has_sockets) return SocketId();
   const SocketId id(++m_last_id);
@@ -63,10 +67,12 @@
 }
 
 SocketId SocketsFake::ConnectAsCaller(const std::string& address) {
+  const auto acceptor = m_acceptors.find(address);
+  if (acceptor == m_acceptors.end()) return SocketId();
   const SocketId id(++m_last_id);
   Connection& connection = m_connections.FindOrInsert(id);
   connection.connected = true;
-  SocketEvents* events = m_acceptors.at(address)->OnAccepted(id);
+  SocketEvents* events = acceptor->second->OnAccepted(id);
   connection.events = events;
   connection.open = events != nullptr;
   return id;
--- a/emulation/sockets_fake.h
+++ b/emulation/sockets_fake.h
@@ -32,6 +32,7 @@
 
   BufferBudget& Buffers() override { return m_buffers; }
   void Listen(const Address& address, SocketAcceptor* acceptor) override;
+  void StopListening(const Address& address) override;
   SocketId Connect(const Address& address, SocketEvents* events) override;
   void Write(SocketId id, std::string_view bytes) override;
   size_t PendingBytes(SocketId id) const override;
@@ -40,7 +41,8 @@
   void CloseGracefully(SocketId id) override;
   void Close(SocketId id, bool reset) override;
 
-  // Opens a connection to a listening address, as a caller would.
+  // Opens a connection to a listening address, as a caller would. Invalid if
+  // nobody listens.
   SocketId ConnectAsCaller(const std::string& address);
   // Events from the remote end: bytes arrive, it stops sending, or the
   // connection fails.
--- a/tests/transport_test_tcp_sockets.cc
+++ b/tests/transport_test_tcp_sockets.cc
@@ -40,18 +40,28 @@
 TEST_GROUP(TcpSockets) {
   void setup() override {
     m_sockets.Listen({"127.0.0.1", kPort}, &m_acceptor);
-    m_client = socket(AF_INET, SOCK_STREAM, 0);
-    setsockopt(m_client, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
-               sizeof kSmallReceiveBuffer);
+    m_client = Connect();
+    RunUntil(&m_loop, [&] { return m_acceptor.accepted.IsValid(); });
+  }
+  void teardown() override { close(m_client); }
+
+  static sockaddr_in ListeningAddress() {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(kPort);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    LONGS_EQUAL(0, connect(m_client, reinterpret_cast<sockaddr*>(&address),
+    return address;
+  }
+  // A connection of a caller that takes little at a time.
+  static int Connect() {
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(client, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
+               sizeof kSmallReceiveBuffer);
+    const sockaddr_in address = ListeningAddress();
+    LONGS_EQUAL(0, connect(client, reinterpret_cast<const sockaddr*>(&address),
                            sizeof address));
-    RunUntil(&m_loop, [&] { return m_acceptor.accepted.IsValid(); });
+    return client;
   }
-  void teardown() override { close(m_client); }
 
   // Lets the time pass without reading.
   void Pause(Duration time) {
@@ -199,3 +209,18 @@
     CHECK(m_loop.Buffers().TotalBytes() <= 10 * part.size());
   }
 }
+
+TEST(TcpSockets, ConnectionsThatAreEstablishedAreAcceptedBeforeListeningEnds) {
+  const int waiting = Connect();
+  m_acceptor.accepted = SocketId();
+  m_sockets.StopListening({"127.0.0.1", kPort});
+  CHECK(m_acceptor.accepted.IsValid());
+  const int late = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in address = ListeningAddress();
+  LONGS_EQUAL(-1, connect(late, reinterpret_cast<const sockaddr*>(&address),
+                          sizeof address));
+  LONGS_EQUAL(1, send(waiting, "x", 1, 0));
+  RunUntil(&m_loop, [&] { return m_acceptor.received == 1; });
+  close(waiting);
+  close(late);
+}
