--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -136,11 +136,11 @@
   const TimePoint now = m_board->clock->Now();
   const bool idle =
       IsIdle() && !m_board->server->IsReceiving() && unsent_bytes == 0;
-  if (m_shutdown.StopsListening(now, idle) &&
-      !std::exchange(m_stopped_listening, true)) {
-    m_board->server->StopListening();
-  }
-  return m_shutdown.IsOver(now);
+  if (!m_shutdown.IsOver(now, idle)) return false;
+  if (std::exchange(m_stopped_listening, true)) return true;
+  if (m_board->server->StopListening() == 0) return true;
+  m_shutdown.RestartQuietTime(now);
+  return false;
 }
 
 void Gateway::DivideConnectionLimits() {
--- a/burdockhill/src/gateway/shutdown.cc
+++ b/burdockhill/src/gateway/shutdown.cc
@@ -14,12 +14,10 @@
 // stop time leaves a part of itself.
 constexpr Duration kMaxMargin = std::chrono::milliseconds(400);
 constexpr int kMarginDivisor = 6;
-// Part of the margin in which the process ends, and in which it accepts no more
-// connections.
+// Part of the margin in which the process ends.
 constexpr int kEndDivisor = 4;
-constexpr int kListenDivisor = 2;
-// Requests that were under way when idle connections were closed, or when the
-// process stopped listening, arrive within this time.
+// Requests that were under way when idle connections were closed arrive within
+// this time.
 constexpr Duration kQuietTime = std::chrono::milliseconds(60);
 
 }  // namespace
@@ -29,7 +27,6 @@
   m_began_at = now;
   m_answer_deadline = now + stop_time - margin;
   m_balancer_deadline = std::min(now + kBalancerDrainTime, m_answer_deadline);
-  m_listen_deadline = now + stop_time - margin / kListenDivisor;
   m_end = now + stop_time - margin / kEndDivisor;
 }
 
@@ -45,21 +42,15 @@
   return HasBegun() && now >= m_balancer_deadline;
 }
 
-bool Shutdown::StopsListening(TimePoint now, bool idle) {
+bool Shutdown::IsOver(TimePoint now, bool idle) {
   if (!CallersAreElsewhere(now)) return false;
+  if (now >= m_end) return true;
   if (!idle) {
     m_idle_since = TimePoint();
-  } else if (m_idle_since == TimePoint()) {
-    m_idle_since = now;
+    return false;
   }
-  if (idle || now >= m_listen_deadline) m_stopped_listening = true;
-  return m_stopped_listening;
-}
-
-bool Shutdown::IsOver(TimePoint now) const {
-  if (!HasBegun()) return false;
-  if (now >= m_end) return true;
-  return m_idle_since != TimePoint() && now - m_idle_since >= kQuietTime;
+  if (m_idle_since == TimePoint()) m_idle_since = now;
+  return now - m_idle_since >= kQuietTime;
 }
 
 }  // namespace burdockhill
--- a/burdockhill/src/gateway/shutdown.h
+++ b/burdockhill/src/gateway/shutdown.h
@@ -22,21 +22,18 @@
   bool CallersAreElsewhere(TimePoint now) const;
   // Each request that was taken has an answer by then.
   TimePoint AnswerDeadline() const { return m_answer_deadline; }
-  // Whether the process accepts no more connections from now on, so that none
-  // is accepted that its end would cut. `idle`: nothing is received, in
-  // progress or unsent. Call once per iteration of the event loop.
-  bool StopsListening(TimePoint now, bool idle);
-  // Whether the process ends now. Call after StopsListening.
-  bool IsOver(TimePoint now) const;
+  // Whether the process ends now. `idle`: nothing is received, in progress or
+  // unsent. Call once per iteration of the event loop.
+  bool IsOver(TimePoint now, bool idle);
+  // Waits anew for requests, of connections that were accepted last.
+  void RestartQuietTime(TimePoint now) { m_idle_since = now; }
 
  private:
   TimePoint m_began_at{};
   TimePoint m_balancer_deadline{};
   TimePoint m_answer_deadline{};
-  TimePoint m_listen_deadline{};
   TimePoint m_end{};
   TimePoint m_idle_since{};
-  bool m_stopped_listening = false;
 };
 
 }  // namespace burdockhill
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -36,8 +36,8 @@
   // Respond, by StartStream and EndStream, or by Abort, unless the caller
   // disconnects first.
   virtual void OnRequest(ExchangeId id, Head head, std::string body) = 0;
-  // The caller closed its sending side or the connection failed. After a mere
-  // half-close the response can still be sent; see Server::IsOpen.
+  // The connection failed or was reset. A caller that has merely closed its
+  // sending side still gets its response.
   virtual void OnCallerDisconnected(ExchangeId id) = 0;
   // The operating system has accepted all bytes written so far.
   virtual void OnOutputDrained(ExchangeId /*id*/) {}
@@ -61,7 +61,8 @@
     m_sockets->Listen(address, this);
   }
   // Serves the connections that are established, and refuses later ones.
-  void StopListening() { m_sockets->StopListening(m_address); }
+  // Returns how many of these were not accepted before.
+  int StopListening() { return m_sockets->StopListening(m_address); }
   // A higher limit applies at once. A lower one applies to requests and waits
   // that begin afterwards: a caller may count on the limits that held when it
   // began to send, and on the idle timeout that held at its last response.
--- a/burdockhill/src/transport/sockets.h
+++ b/burdockhill/src/transport/sockets.h
@@ -51,8 +51,9 @@
   virtual void Listen(const Address& address, SocketAcceptor* acceptor) = 0;
 
   // Accepts the connections that are established already, then listens on the
-  // address no more: callers that connect later are refused.
-  virtual void StopListening(const Address& address) = 0;
+  // address no more: callers that connect later are refused. Returns how many
+  // connections were accepted.
+  virtual int StopListening(const Address& address) = 0;
 
   // Starts to connect; OnConnected or OnFailed follows. Returns an invalid id
   // if no socket can be created or the attempt fails at once.
--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -159,19 +159,24 @@
     m_acceptors[id] = acceptor;
   }
 
-  void StopListening(const Address& address) {
+  int StopListening(const Address& address) {
     const auto found = std::find_if(
         m_acceptors.begin(), m_acceptors.end(), [&](const auto& item) {
           return m_sockets.Find(item.first)->listens_on == address;
         });
-    if (found == m_acceptors.end()) return;
+    if (found == m_acceptors.end()) return 0;
     const auto [id, acceptor] = *found;
     const int fd = m_sockets.Find(id)->fd;
-    while (AcceptConnections(fd, acceptor) == kMaxAcceptsPerIteration) {
-    }
+    int accepted = 0;
+    int latest = 0;
+    do {
+      latest = AcceptConnections(fd, acceptor);
+      accepted += latest;
+    } while (latest == kMaxAcceptsPerIteration);
     // Takes effect at once; libwebsockets closes the descriptor only later.
     shutdown(fd, SHUT_RDWR);
     Close(id, /*reset=*/false);
+    return accepted;
   }
 
   SocketId Connect(const Address& address, SocketEvents* events) {
@@ -499,8 +504,8 @@
 void TcpSockets::Listen(const Address& address, SocketAcceptor* acceptor) {
   m_impl->Listen(address, acceptor);
 }
-void TcpSockets::StopListening(const Address& address) {
-  m_impl->StopListening(address);
+int TcpSockets::StopListening(const Address& address) {
+  return m_impl->StopListening(address);
 }
 SocketId TcpSockets::Connect(const Address& address, SocketEvents* events) {
   return m_impl->Connect(address, events);
--- a/burdockhill/src/transport/tcp_sockets.h
+++ b/burdockhill/src/transport/tcp_sockets.h
@@ -22,7 +22,7 @@
 
   BufferBudget& Buffers() override;
   void Listen(const Address& address, SocketAcceptor* acceptor) override;
-  void StopListening(const Address& address) override;
+  int StopListening(const Address& address) override;
   SocketId Connect(const Address& address, SocketEvents* events) override;
   void Write(SocketId id, std::string_view bytes) override;
   size_t PendingBytes(SocketId id) const override;
--- a/emulation/socket_network_fake.cc
+++ b/emulation/socket_network_fake.cc
@@ -17,8 +17,9 @@
   m_listeners[FormatAddress(address)] = acceptor;
 }
 
-void SocketNetworkFake::StopListening(const Address& address) {
+int SocketNetworkFake::StopListening(const Address& address) {
   m_listeners.erase(FormatAddress(address));
+  return 0;
 }
 
 SocketId SocketNetworkFake::Connect(const Address& address,
--- a/emulation/socket_network_fake.h
+++ b/emulation/socket_network_fake.h
@@ -19,7 +19,7 @@
 
   BufferBudget& Buffers() override { return m_buffers; }
   void Listen(const Address& address, SocketAcceptor* acceptor) override;
-  void StopListening(const Address& address) override;
+  int StopListening(const Address& address) override;
   SocketId Connect(const Address& address, SocketEvents* events) override;
   void Write(SocketId id, std::string_view bytes) override;
   size_t PendingBytes(SocketId /*id*/) const override { return 0; }
--- a/emulation/sockets_fake.cc
+++ b/emulation/sockets_fake.cc
@@ -17,8 +17,16 @@
   m_acceptors[FormatAddress(address)] = acceptor;
 }
 
-void SocketsFake::StopListening(const Address& address) {
-  m_acceptors.erase(FormatAddress(address));
+int SocketsFake::StopListening(const Address& address) {
+  const auto found = m_acceptors.find(FormatAddress(address));
+  if (found == m_acceptors.end()) return 0;
+  int accepted = 0;
+  for (const SocketId id : std::exchange(m_backlog, {})) {
+    m_connections.Find(id)->events = found->second->OnAccepted(id);
+    ++accepted;
+  }
+  m_acceptors.erase(found);
+  return accepted;
 }
 
 SocketId SocketsFake::Connect(const Address& address, SocketEvents* events) {
@@ -78,6 +86,13 @@
   return id;
 }
 
+SocketId SocketsFake::ConnectUnaccepted() {
+  const SocketId id(++m_last_id);
+  m_connections.FindOrInsert(id).connected = true;
+  m_backlog.push_back(id);
+  return id;
+}
+
 void SocketsFake::Inject(SocketId id, std::string_view bytes) {
   m_buffers.Enforce();
   const Connection* connection = m_connections.Find(id);
--- a/emulation/sockets_fake.h
+++ b/emulation/sockets_fake.h
@@ -32,7 +32,7 @@
 
   BufferBudget& Buffers() override { return m_buffers; }
   void Listen(const Address& address, SocketAcceptor* acceptor) override;
-  void StopListening(const Address& address) override;
+  int StopListening(const Address& address) override;
   SocketId Connect(const Address& address, SocketEvents* events) override;
   void Write(SocketId id, std::string_view bytes) override;
   size_t PendingBytes(SocketId id) const override;
@@ -44,6 +44,8 @@
   // Opens a connection to a listening address, as a caller would. Invalid if
   // nobody listens.
   SocketId ConnectAsCaller(const std::string& address);
+  // A connection that is established, and accepted only by StopListening.
+  SocketId ConnectUnaccepted();
   // Events from the remote end: bytes arrive, it stops sending, or the
   // connection fails.
   void Inject(SocketId id, std::string_view bytes);
@@ -73,6 +75,7 @@
  private:
   BufferBudget m_buffers;
   std::map<std::string, SocketAcceptor*> m_acceptors;
+  std::vector<SocketId> m_backlog;
   std::map<SocketId, size_t> m_pending;
   Table<SocketId, Connection> m_connections;
   uint64_t m_last_id = 0;
