--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -27,11 +27,6 @@
 // A request waits for a permit for this part of its latency target; the rest is
 // left for the call.
 constexpr int kPermitWaitDivisor = 2;
-// A caller that has closed its sending side may still read. An idempotent call
-// continues for this time, since delivering its response is worth more than the
-// work that cancelling saves. The time has to stay below 500 ms: callers that
-// have disconnected must not occupy upstreams for that long.
-constexpr Duration kHalfClosedGracePeriod = std::chrono::milliseconds(250);
 // Reading from the upstream pauses when more bytes to the caller are queued
 // here, and continues once the operating system has accepted all of them.
 constexpr size_t kHighWatermarkBytes = size_t{256} << 10;
@@ -343,7 +338,7 @@
   RecordCallEnd(request,
                 error ? CallResult::kServerError : CallResult::kCompleted);
   if (request->is_forwarding) return EndForwarding(request);
-  if (!error || request->disconnected_at.has_value()) return Deliver(request);
+  if (!error || request->caller_is_gone) return Deliver(request);
   ++request->possible_runs;
   if (!MayRetry(*request, CallOutcome::kMayHaveRun)) return Deliver(request);
   KeepFailedResponse(request);
@@ -414,7 +409,7 @@
 void PlainRequests::RetryOrGiveUp(Request* request, CallOutcome outcome,
                                   std::string_view reason) {
   RoutedRequest& routed = request->routed;
-  if (request->is_forwarding || request->disconnected_at.has_value()) {
+  if (request->is_forwarding || request->caller_is_gone) {
     AbortExchange(*request, reason);
     return FinishRequest(routed.exchange);
   }
@@ -500,27 +495,20 @@
   m_board->log->Write("answer_dropped",
                       {{"request", request.routed.request.id},
                        {"upstream", request.routed.last_upstream.Value()},
-                       {"caller_gone", request.disconnected_at.has_value()},
+                       {"caller_gone", request.caller_is_gone},
                        {"reason", std::string(reason)}});
-  m_board->server->Abort(request.routed.exchange);
+  CutResponse(m_board, request.routed, reason);
 }
 
 bool PlainRequests::OnCallerDisconnected(http::ExchangeId id) {
   Request* request = m_requests.Find(id);
   if (request == nullptr) return false;
-  if (request->has_failed_response && m_board->server->IsOpen(id)) {
-    Deliver(request);
-    return true;
-  }
-  const RequestKind kind = request->routed.route.kind;
-  const bool sent = m_board->connections->WasSent(request->call);
-  // A non-idempotent call that was sent is never cancelled. An idempotent one
-  // continues for a grace period if the caller may still read.
+  // A non-idempotent call that was sent is never cancelled.
   const bool must_complete =
-      sent && (kind == RequestKind::kNonIdempotent ||
-               (!IsStream(kind) && m_board->server->IsOpen(id)));
+      request->routed.route.kind == RequestKind::kNonIdempotent &&
+      m_board->connections->WasSent(request->call);
   if (must_complete) {
-    request->disconnected_at = m_board->clock->Now();
+    request->caller_is_gone = true;
     return true;
   }
   Abandon(request);
@@ -532,7 +520,7 @@
   if (call.IsValid()) RecordCallEnd(request, CallResult::kRejected);
   m_board->connections->Cancel(call);
   m_exchanges_by_call.Erase(call);
-  request->disconnected_at = m_board->clock->Now();
+  request->caller_is_gone = true;
   AbortExchange(*request, "the caller has gone");
   FinishRequest(request->routed.exchange);
 }
@@ -546,7 +534,6 @@
   const TimePoint now = m_board->clock->Now();
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::ExchangeId> unresponsive;
-  std::vector<http::ExchangeId> abandon;
   std::vector<http::ExchangeId> resumed;
   // The process ends soon, and each caller gets an answer before.
   const bool stopping = m_board->shutdown_deadline != TimePoint() &&
@@ -558,10 +545,6 @@
     } else if (request.paused_until != TimePoint() &&
                now >= request.paused_until) {
       resumed.push_back(id);
-    } else if (request.disconnected_at.has_value()) {
-      const bool over =
-          now - *request.disconnected_at >= kHalfClosedGracePeriod;
-      if (over && route.kind == RequestKind::kIdempotent) abandon.push_back(id);
     } else if (route.kind == RequestKind::kIdempotent &&
                request.call.IsValid() && request.response_body.empty() &&
                !request.is_forwarding &&
@@ -571,7 +554,6 @@
       unresponsive.push_back(id);
     }
   }
-  for (const http::ExchangeId id : abandon) Abandon(m_requests.Find(id));
   for (const http::ExchangeId id : resumed) {
     Request* request = m_requests.Find(id);
     request->paused_until = TimePoint();
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -66,7 +66,7 @@
     int possible_runs = 0;     // Calls that may have run the request.
     int failed_connects = 0;   // Connections that could not be established.
     TimePoint paused_until{};  // Not placed before; zero if not waiting.
-    std::optional<TimePoint> disconnected_at;
+    bool caller_is_gone = false;
     bool is_forwarding = false;  // The head was sent to the caller.
     // Of a stream whose body is an event stream.
     std::optional<http::SseEventSplitter> events;
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -17,6 +17,10 @@
 // A connection is closed if its caller reads nothing of a response for this
 // time.
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
+// Callers skip it, whether they have asked for it or not.
+constexpr std::string_view kInterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+// A caller that has gone is noticed within this time and a round trip.
+constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 // Share of what the process may buffer that bodies of requests may take.
 constexpr size_t kBodyShareDivisor = 4;
 // A response body that is longer is not copied to be sent with its head.
@@ -77,7 +81,7 @@
   }
   if (!had_head && head.headers.HasToken("Expect", "100-continue") &&
       !reader.IsComplete()) {
-    m_sockets->Write(id, "HTTP/1.1 100 Continue\r\n\r\n");
+    m_sockets->Write(id, kInterimResponse);
   }
   if (!reader.IsComplete()) return;
   connection->pipelined.assign(bytes.substr(consumed));
@@ -123,13 +127,21 @@
   if (connection == nullptr) return;
   connection->input_ended = true;
   if (connection->exchange.IsValid()) {
-    m_events->OnCallerDisconnected(connection->exchange);
+    ProbeCaller(id, connection, m_clock->Now());
   } else {
     RemoveConnection(id);
     m_sockets->CloseGracefully(id);
   }
 }
 
+void Server::ProbeCaller(SocketId id, Connection* connection, TimePoint now) {
+  // An interim response must not stand inside a response.
+  if (connection->is_streaming || m_sockets->PendingBytes(id) > 0) return;
+  if (now - connection->probed_at < kProbeInterval) return;
+  connection->probed_at = now;
+  m_sockets->Write(id, kInterimResponse);
+}
+
 void Server::OnFailed(SocketId id) {
   const Connection* connection = m_connections.Find(id);
   if (connection == nullptr) return;
@@ -341,7 +353,10 @@
   std::vector<SocketId> idle;
   std::vector<SocketId> slow;
   for (auto& [id, connection] : m_connections) {
-    if (connection.exchange.IsValid()) continue;
+    if (connection.exchange.IsValid()) {
+      if (connection.input_ended) ProbeCaller(id, &connection, now);
+      continue;
+    }
     const size_t unsent = m_sockets->PendingBytes(id);
     const size_t unsent_before = std::exchange(connection.unsent_bytes, unsent);
     if (unsent > 0 && unsent < unsent_before) connection.wait_start = now;
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -99,8 +99,9 @@
   size_t PendingBytes(ExchangeId id) const;
   size_t OpenExchangeCount() const { return m_exchanges.Size(); }
 
-  // Rejects requests and closes idle connections that exceed their time limits.
-  // Call about every 50 ms.
+  // Rejects requests and closes idle connections that exceed their time limits,
+  // and finds out whether callers that have closed their sending side are
+  // there. Call about every 50 ms.
   void CheckTimeouts(TimePoint now);
 
  private:
@@ -119,6 +120,7 @@
     size_t body_bytes = 0;    // Share of m_total_body_bytes.
     BufferCharge request_charge;
     bool input_ended = false;   // The caller has closed its sending side.
+    TimePoint probed_at{};      // When it was last sent an interim response.
     bool is_streaming = false;  // The response has started as a stream.
     bool said_close = false;    // The response says that it is the last one.
     explicit Connection(size_t max_header)
@@ -134,6 +136,9 @@
 
   // Reads the current request, with what is pipelined behind it.
   void ReadRequest(SocketId id, Connection* connection, std::string_view bytes);
+  // Sends an interim response to a caller that has closed its sending side. One
+  // that has closed its connection resets it then.
+  void ProbeCaller(SocketId id, Connection* connection, TimePoint now);
   // Input is awaited from now on.
   void StartWait(Connection* connection) const;
   // The limits that hold for the current wait or request.
