--- a/burdockhill/src/gateway/entry_board.cc
+++ b/burdockhill/src/gateway/entry_board.cc
@@ -106,6 +106,13 @@
   return false;
 }
 
+void CutResponse(EntryBoard* board, const RoutedRequest& routed,
+                 std::string_view reason) {
+  board->metrics.IncrementCounter("burdockhill_responses_cut_total",
+                                  LabelsFor(routed.service, reason));
+  board->server->Abort(routed.exchange);
+}
+
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
                  Duration retry_after, std::string_view reason) {
   const ErrorResponse& answer = ErrorResponseFor(kind);
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -96,6 +96,11 @@
 // window holds.
 bool PayForRetries(EntryBoard* board, const RoutedRequest& routed, int retries);
 
+// Resets the connection of a caller whose response has not ended, and counts it
+// by reason.
+void CutResponse(EntryBoard* board, const RoutedRequest& routed,
+                 std::string_view reason);
+
 // Sends the caller an error response, logs it and counts it. If `retry_after`
 // is zero, a 503 response carries the default of `kind`.
 void FailRequest(EntryBoard* board, const RoutedRequest& routed, ErrorKind kind,
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -62,7 +62,7 @@
   if (stream == nullptr) return false;
   m_board->log->Write("caller_gone", {{"request", stream->routed.request.id},
                                       {"after_event", LastEventId(*stream)}});
-  m_board->server->Abort(id);
+  CutResponse(m_board, stream->routed, "the caller has gone");
   FinishStream(stream);
   return true;
 }
@@ -238,7 +238,7 @@
                          {"framing", ResponseFraming(*stream)},
                          {"parts", SharedPartsText(routed.request)},
                          {"reason", std::string(reason)}});
-    m_board->server->Abort(routed.exchange);
+    CutResponse(m_board, routed, reason);
   }
   FinishStream(stream);
 }
