--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -133,9 +133,14 @@
 }
 
 bool Gateway::HasStopped(size_t unsent_bytes) {
+  const TimePoint now = m_board->clock->Now();
   const bool idle =
       IsIdle() && !m_board->server->IsReceiving() && unsent_bytes == 0;
-  return m_shutdown.IsOver(m_board->clock->Now(), idle);
+  if (!m_shutdown.IsOver(now, idle)) return false;
+  if (std::exchange(m_stopped_listening, true)) return true;
+  if (m_board->server->StopListening() == 0) return true;
+  m_shutdown.RestartQuietTime(now);
+  return false;
 }
 
 void Gateway::DivideConnectionLimits() {
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -7,8 +7,11 @@
 
 namespace {
 
-// Limit for a response, which is buffered until it is complete.
+// Limit for what is kept of a response until it is complete.
 constexpr size_t kMaxResponseBytes = size_t{8} << 20;
+// A successful response that declares more bytes is forwarded as it arrives. It
+// takes no memory then, but cannot be replaced by that of another upstream.
+constexpr uint64_t kLongResponseBytes = uint64_t{256} << 10;
 // Limit of connections that may fail before the request does. Retrying them is
 // always safe, since nothing was sent.
 constexpr int kMaxFailedConnects = 4;
@@ -16,6 +19,7 @@
 // upstream, if there is one, after this multiple of the route's latency target.
 constexpr int kResponseTimeoutInTargets = 3;
 constexpr int kFirstServerErrorStatus = 500;
+constexpr int kFirstRedirectStatus = 300;
 // Calls that must not be repeated do not use keep-alive connections that were
 // idle for longer: the upstream may have closed them unnoticed, and then it is
 // unknown whether the call ran.
@@ -23,11 +27,6 @@
 // A request waits for a permit for this part of its latency target; the rest is
 // left for the call.
 constexpr int kPermitWaitDivisor = 2;
-// A caller that has closed its sending side may still read. An idempotent call
-// continues for this time, since delivering its response is worth more than the
-// work that cancelling saves. The time has to stay below 500 ms: callers that
-// have disconnected must not occupy upstreams for that long.
-constexpr Duration kHalfClosedGracePeriod = std::chrono::milliseconds(250);
 // Reading from the upstream pauses when more bytes to the caller are queued
 // here, and continues once the operating system has accepted all of them.
 constexpr size_t kHighWatermarkBytes = size_t{256} << 10;
@@ -35,6 +34,7 @@
 http::CallPolicy PolicyFor(const RoutedRequest& routed) {
   http::CallPolicy policy;
   policy.response_id = routed.request.id;
+  if (!IsStream(routed.route.kind)) policy.max_kept_bytes = kMaxResponseBytes;
   if (routed.route.kind != RequestKind::kIdempotent) {
     policy.max_idle_time = kSafeIdle;
   }
@@ -249,7 +249,8 @@
                                       {"upstream", upstream->name.Value()}});
     return EndUnplaced(request);
   }
-  request->response_body.clear();
+  std::string().swap(request->response_body);
+  request->failed_response_charge.Close();
   request->has_failed_response = false;
   m_exchanges_by_call.FindOrInsert(request->call, routed.exchange);
 }
@@ -269,8 +270,12 @@
   RecordStatements(m_board, request->routed, head, metadata,
                    request->call_started_at);
   request->response_head = head;
-  const bool stream = IsStream(request->routed.route.kind);
-  if (!stream || head.status != http::kOk || metadata.not_run) return true;
+  if (metadata.not_run) return true;
+  if (!IsStream(request->routed.route.kind)) {
+    if (IsLong(*request)) StartForwarding(request);
+    return true;
+  }
+  if (head.status != http::kOk) return true;
   if (request->version.has_value() &&
       m_take_ups.HasRestarted(request->routed, request->called_version)) {
     m_board->connections->Cancel(id);
@@ -281,27 +286,22 @@
                   "upstream may have restarted");
     return true;
   }
-  StartStream(request);
+  if (http::IsEventStream(head)) request->events.emplace();
+  StartForwarding(request);
   return true;
 }
 
-void PlainRequests::OnResponseBody(http::CallId id, std::string_view bytes) {
+size_t PlainRequests::OnResponseBody(http::CallId id, std::string_view bytes) {
   Request* request = FindRequest(id);
-  if (request == nullptr) return;
-  bool understood = true;
-  if (request->is_streaming) {
-    understood = ForwardStream(request, bytes);
-  } else {
-    request->response_body.append(bytes);
-    understood = request->response_body.size() <= kMaxResponseBytes;
-  }
-  if (understood) return;
-  m_board->connections->Cancel(id);
-  OnCallFailed(id, http::CallFailure::kMalformed);
+  if (request == nullptr) return 0;
+  if (request->is_forwarding) return ForwardBody(request, bytes);
+  request->response_body.append(bytes);
+  return request->response_body.capacity();
 }
 
-bool PlainRequests::ForwardStream(Request* request, std::string_view bytes) {
+size_t PlainRequests::ForwardBody(Request* request, std::string_view bytes) {
   const http::ExchangeId exchange = request->routed.exchange;
+  size_t kept = 0;
   if (request->events.has_value()) {
     const bool first = request->events->Count() == 0;
     const std::string complete_events = request->events->Append(bytes);
@@ -309,20 +309,20 @@
       m_take_ups.RecordFirstEvent(request->routed, request->called_version);
     }
     m_board->server->WriteStream(exchange, complete_events);
-    if (request->events->IsTooLong()) return false;
+    kept = request->events->PartialSize();
   } else {
     m_board->server->WriteStream(exchange, bytes);
   }
   if (m_board->server->PendingBytes(exchange) > kHighWatermarkBytes) {
     m_board->connections->SetReading(request->call, false);
   }
-  return true;
+  return kept;
 }
 
 void PlainRequests::OnResponseEnd(http::CallId id) {
   Request* request = FindRequest(id);
   if (request == nullptr) return;
-  if (request->is_streaming && !IsStreamComplete(*request)) {
+  if (request->is_forwarding && !IsStreamComplete(*request)) {
     return OnCallFailed(id, http::CallFailure::kBroken);
   }
   m_exchanges_by_call.Erase(id);
@@ -337,16 +337,30 @@
   const bool error = request->response_head.status >= kFirstServerErrorStatus;
   RecordCallEnd(request,
                 error ? CallResult::kServerError : CallResult::kCompleted);
-  if (request->is_streaming) return EndStream(request);
-  if (!error || request->disconnected_at.has_value()) return Deliver(request);
+  if (request->is_forwarding) return EndForwarding(request);
+  if (!error || request->caller_is_gone) return Deliver(request);
   ++request->possible_runs;
   if (!MayRetry(*request, CallOutcome::kMayHaveRun)) return Deliver(request);
-  request->has_failed_response = true;
+  KeepFailedResponse(request);
   request->needs_retry_budget = true;
   request->retry_reason = "upstream failed";
   Place(request);
 }
 
+void PlainRequests::KeepFailedResponse(Request* request) {
+  const RoutedRequest& routed = request->routed;
+  request->has_failed_response = true;
+  request->failed_response_charge.Open(
+      &m_board->connections->Buffers(), BufferKind::kAnswer,
+      routed.last_upstream.Value(), this, BufferKey(routed.exchange.Value()));
+  request->failed_response_charge.SetBytes(request->response_body.capacity());
+}
+
+void PlainRequests::OnBufferEvicted(BufferKey key) {
+  Request* request = m_requests.Find(http::ExchangeId(key.Value()));
+  if (request != nullptr) Deliver(request);
+}
+
 void PlainRequests::OnCallFailed(http::CallId id, http::CallFailure failure) {
   Request* request = FindRequest(id);
   if (request == nullptr) return;
@@ -360,12 +374,13 @@
     ++request->failed_connects;
     return RetryOrGiveUp(request, CallOutcome::kNotSent, "no connection");
   }
-  m_board->poison_detector.RecordBrokenConnection(routed.Fingerprint(),
-                                                  routed.last_upstream, now);
+  // An upstream that sends without end has not crashed.
+  if (failure != http::CallFailure::kTooLarge) {
+    m_board->poison_detector.RecordBrokenConnection(routed.Fingerprint(),
+                                                    routed.last_upstream, now);
+  }
   RecordCallEnd(request, CallResult::kFailed);
-  RetryOrGiveUp(request, CallOutcome::kMayHaveRun,
-                failure == http::CallFailure::kBroken ? "connection broke"
-                                                      : "malformed answer");
+  RetryOrGiveUp(request, CallOutcome::kMayHaveRun, DescribeFailure(failure));
 }
 
 void PlainRequests::RecordCallEnd(Request* request, CallResult result) {
@@ -394,7 +409,7 @@
 void PlainRequests::RetryOrGiveUp(Request* request, CallOutcome outcome,
                                   std::string_view reason) {
   RoutedRequest& routed = request->routed;
-  if (request->is_streaming || request->disconnected_at.has_value()) {
+  if (request->is_forwarding || request->caller_is_gone) {
     AbortExchange(*request, reason);
     return FinishRequest(routed.exchange);
   }
@@ -446,9 +461,15 @@
   FinishRequest(routed.exchange);
 }
 
-void PlainRequests::StartStream(Request* request) {
-  request->is_streaming = true;
-  if (http::IsEventStream(request->response_head)) request->events.emplace();
+bool PlainRequests::IsLong(const Request& request) {
+  const http::Head& head = request.response_head;
+  return head.status >= http::kOk && head.status < kFirstRedirectStatus &&
+         request.routed.request.head.method != "HEAD" &&
+         head.content_length.value_or(0) > kLongResponseBytes;
+}
+
+void PlainRequests::StartForwarding(Request* request) {
+  request->is_forwarding = true;
   http::Head head = request->response_head;
   http::RemoveConnectionHeaders(&head.headers);
   m_board->server->StartStream(request->routed.exchange, head);
@@ -459,7 +480,7 @@
          request.events->EndsStream(FramingOf(request.response_head));
 }
 
-void PlainRequests::EndStream(Request* request) {
+void PlainRequests::EndForwarding(Request* request) {
   RecordResponseTime(request->routed);
   if (request->events.has_value()) {
     m_board->server->WriteStream(request->routed.exchange,
@@ -474,27 +495,20 @@
   m_board->log->Write("answer_dropped",
                       {{"request", request.routed.request.id},
                        {"upstream", request.routed.last_upstream.Value()},
-                       {"caller_gone", request.disconnected_at.has_value()},
+                       {"caller_gone", request.caller_is_gone},
                        {"reason", std::string(reason)}});
-  m_board->server->Abort(request.routed.exchange);
+  CutResponse(m_board, request.routed, reason);
 }
 
 bool PlainRequests::OnCallerDisconnected(http::ExchangeId id) {
   Request* request = m_requests.Find(id);
   if (request == nullptr) return false;
-  if (request->has_failed_response && m_board->server->IsOpen(id)) {
-    Deliver(request);
-    return true;
-  }
-  const RequestKind kind = request->routed.route.kind;
-  const bool sent = m_board->connections->WasSent(request->call);
-  // A non-idempotent call that was sent is never cancelled. An idempotent one
-  // continues for a grace period if the caller may still read.
+  // A non-idempotent call that was sent is never cancelled.
   const bool must_complete =
-      sent && (kind == RequestKind::kNonIdempotent ||
-               (!IsStream(kind) && m_board->server->IsOpen(id)));
+      request->routed.route.kind == RequestKind::kNonIdempotent &&
+      m_board->connections->WasSent(request->call);
   if (must_complete) {
-    request->disconnected_at = m_board->clock->Now();
+    request->caller_is_gone = true;
     return true;
   }
   Abandon(request);
@@ -506,7 +520,7 @@
   if (call.IsValid()) RecordCallEnd(request, CallResult::kRejected);
   m_board->connections->Cancel(call);
   m_exchanges_by_call.Erase(call);
-  request->disconnected_at = m_board->clock->Now();
+  request->caller_is_gone = true;
   AbortExchange(*request, "the caller has gone");
   FinishRequest(request->routed.exchange);
 }
@@ -520,7 +534,6 @@
   const TimePoint now = m_board->clock->Now();
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::ExchangeId> unresponsive;
-  std::vector<http::ExchangeId> abandon;
   std::vector<http::ExchangeId> resumed;
   // The process ends soon, and each caller gets an answer before.
   const bool stopping = m_board->shutdown_deadline != TimePoint() &&
@@ -532,19 +545,15 @@
     } else if (request.paused_until != TimePoint() &&
                now >= request.paused_until) {
       resumed.push_back(id);
-    } else if (request.disconnected_at.has_value()) {
-      const bool over =
-          now - *request.disconnected_at >= kHalfClosedGracePeriod;
-      if (over && route.kind == RequestKind::kIdempotent) abandon.push_back(id);
     } else if (route.kind == RequestKind::kIdempotent &&
                request.call.IsValid() && request.response_body.empty() &&
+               !request.is_forwarding &&
                request.possible_runs + 1 < route.max_attempts &&
                now - request.call_started_at >
                    kResponseTimeoutInTargets * route.latency_target) {
       unresponsive.push_back(id);
     }
   }
-  for (const http::ExchangeId id : abandon) Abandon(m_requests.Find(id));
   for (const http::ExchangeId id : resumed) {
     Request* request = m_requests.Find(id);
     request->paused_until = TimePoint();
@@ -571,7 +580,7 @@
     if (request->call.IsValid()) RecordCallEnd(request, CallResult::kFailed);
     m_board->connections->Cancel(request->call);
     m_exchanges_by_call.Erase(request->call);
-    if (request->is_streaming) {
+    if (request->is_forwarding) {
       AbortExchange(*request, "out of time");
       FinishRequest(id);
       continue;
--- a/burdockhill/src/gateway/shutdown.h
+++ b/burdockhill/src/gateway/shutdown.h
@@ -25,6 +25,8 @@
   // Whether the process ends now. `idle`: nothing is received, in progress or
   // unsent. Call once per iteration of the event loop.
   bool IsOver(TimePoint now, bool idle);
+  // Waits anew for requests, of connections that were accepted last.
+  void RestartQuietTime(TimePoint now) { m_idle_since = now; }
 
  private:
   TimePoint m_began_at{};
--- a/burdockhill/src/http/message_reader.h
+++ b/burdockhill/src/http/message_reader.h
@@ -12,7 +12,9 @@
 
 enum class MessageKind { kRequest, kResponse };
 
-// Why a message was rejected.
+// Why a message was rejected. A header that is too large includes everything
+// that is neither body nor necessary: interim responses, chunk extensions and
+// trailers.
 enum class ReadError { kNone, kMalformed, kHeaderTooLarge };
 
 // Incremental parser for the HTTP/1.1 messages of one connection; does no I/O.
@@ -48,6 +50,8 @@
   bool IsComplete() const;
   ReadError Error() const;
   const Head& MessageHead() const;
+  // Memory of the head so far, in bytes.
+  size_t HeadMemory() const;
   // Decoded body bytes. The caller may move them out or clear them.
   std::string& Body();
 
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -19,7 +19,9 @@
 struct ServerLimits {
   size_t max_header_bytes = size_t{16} << 10;
   size_t max_body_bytes = size_t{4} << 20;
-  // Sum over all requests that are being received or answered.
+  // Sum over all requests that are being received or answered. At most a
+  // quarter of what the process may buffer, since a body is copied while it is
+  // sent to an upstream.
   size_t max_total_body_bytes = size_t{24} << 20;
   // From the first byte of a request to the end of its header.
   Duration header_timeout = std::chrono::seconds(3);
@@ -34,8 +36,8 @@
   // Respond, by StartStream and EndStream, or by Abort, unless the caller
   // disconnects first.
   virtual void OnRequest(ExchangeId id, Head head, std::string body) = 0;
-  // The caller closed its sending side or the connection failed. After a mere
-  // half-close the response can still be sent; see Server::IsOpen.
+  // The connection failed or was reset. A caller that has merely closed its
+  // sending side still gets its response.
   virtual void OnCallerDisconnected(ExchangeId id) = 0;
   // The operating system has accepted all bytes written so far.
   virtual void OnOutputDrained(ExchangeId /*id*/) {}
@@ -47,12 +49,20 @@
 // HTTP/1.1 server for callers. Requests that are malformed, too large or too
 // slow are rejected here with a 4xx status, and with 503 if the sum of all
 // bodies exceeds its limit; they never reach ServerEvents.
-class Server : private SocketAcceptor, private SocketEvents {
+class Server : private SocketAcceptor,
+               private SocketEvents,
+               private BufferOwner {
  public:
   Server(Sockets* sockets, const Clock* clock, ServerEvents* events);
 
   // Throws std::runtime_error if the address cannot be listened on.
-  void Listen(const Address& address) { m_sockets->Listen(address, this); }
+  void Listen(const Address& address) {
+    m_address = address;
+    m_sockets->Listen(address, this);
+  }
+  // Serves the connections that are established, and refuses later ones.
+  // Returns how many of these were not accepted before.
+  int StopListening() { return m_sockets->StopListening(m_address); }
   // A higher limit applies at once. A lower one applies to requests and waits
   // that begin afterwards: a caller may count on the limits that held when it
   // began to send, and on the idle timeout that held at its last response.
@@ -89,8 +99,9 @@
   size_t PendingBytes(ExchangeId id) const;
   size_t OpenExchangeCount() const { return m_exchanges.Size(); }
 
-  // Rejects requests and closes idle connections that exceed their time limits.
-  // Call about every 50 ms.
+  // Rejects requests and closes idle connections that exceed their time limits,
+  // and finds out whether callers that have closed their sending side are
+  // there. Call about every 50 ms.
   void CheckTimeouts(TimePoint now);
 
  private:
@@ -105,9 +116,11 @@
     ServerLimits limits;
     // The idle timeout that the latest response has announced.
     Duration said_idle_timeout{};
-    size_t unsent_bytes = 0;    // At the last check of the time limits.
-    size_t body_bytes = 0;      // Share of m_total_body_bytes.
+    size_t unsent_bytes = 0;  // At the last check of the time limits.
+    size_t body_bytes = 0;    // Share of m_total_body_bytes.
+    BufferCharge request_charge;
     bool input_ended = false;   // The caller has closed its sending side.
+    TimePoint probed_at{};      // When it was last sent an interim response.
     bool is_streaming = false;  // The response has started as a stream.
     bool said_close = false;    // The response says that it is the last one.
     explicit Connection(size_t max_header)
@@ -119,9 +132,13 @@
   void OnEndOfInput(SocketId id) override;
   void OnOutputDrained(SocketId id) override;
   void OnFailed(SocketId id) override;
+  void OnBufferEvicted(BufferKey key) override;
 
   // Reads the current request, with what is pipelined behind it.
   void ReadRequest(SocketId id, Connection* connection, std::string_view bytes);
+  // Sends an interim response to a caller that has closed its sending side. One
+  // that has closed its connection resets it then.
+  void ProbeCaller(SocketId id, Connection* connection, TimePoint now);
   // Input is awaited from now on.
   void StartWait(Connection* connection) const;
   // The limits that hold for the current wait or request.
@@ -138,6 +155,7 @@
   // Closes a connection without a request, and reads nothing more from it.
   void CloseUnlessInputArrived(SocketId id);
   void SetBodyBytes(Connection* connection, size_t bytes);
+  size_t MaxTotalBodyBytes() const;
   // Ends the exchange. Then closes the connection, or parses the next request
   // if `keep_alive`.
   void FinishExchange(ExchangeId id, bool keep_alive);
@@ -151,6 +169,7 @@
   Sockets* m_sockets;
   const Clock* m_clock;
   ServerEvents* m_events;
+  Address m_address;
   ServerLimits m_limits;
   bool m_keep_alive_disabled = false;
   uint64_t m_last_exchange_id = 0;
--- a/burdockhill/src/transport/tcp_sockets.h
+++ b/burdockhill/src/transport/tcp_sockets.h
@@ -20,7 +20,9 @@
   explicit TcpSockets(EventLoop* loop);
   ~TcpSockets() override;
 
+  BufferBudget& Buffers() override;
   void Listen(const Address& address, SocketAcceptor* acceptor) override;
+  int StopListening(const Address& address) override;
   SocketId Connect(const Address& address, SocketEvents* events) override;
   void Write(SocketId id, std::string_view bytes) override;
   size_t PendingBytes(SocketId id) const override;
--- a/emulation/socket_network_fake.cc
+++ b/emulation/socket_network_fake.cc
@@ -17,6 +17,11 @@
   m_listeners[FormatAddress(address)] = acceptor;
 }
 
+int SocketNetworkFake::StopListening(const Address& address) {
+  m_listeners.erase(FormatAddress(address));
+  return 0;
+}
+
 SocketId SocketNetworkFake::Connect(const Address& address,
                                     SocketEvents* events) {
   const SocketId id(++m_last_id);
--- a/emulation/sockets_fake.cc
+++ b/emulation/sockets_fake.cc
@@ -17,6 +17,18 @@
   m_acceptors[FormatAddress(address)] = acceptor;
 }
 
+int SocketsFake::StopListening(const Address& address) {
+  const auto found = m_acceptors.find(FormatAddress(address));
+  if (found == m_acceptors.end()) return 0;
+  int accepted = 0;
+  for (const SocketId id : std::exchange(m_backlog, {})) {
+    m_connections.Find(id)->events = found->second->OnAccepted(id);
+    ++accepted;
+  }
+  m_acceptors.erase(found);
+  return accepted;
+}
+
 SocketId SocketsFake::Connect(const Address& address, SocketEvents* events) {
   if (!m_has_sockets) return SocketId();
   const SocketId id(++m_last_id);
@@ -63,16 +75,26 @@
 }
 
 SocketId SocketsFake::ConnectAsCaller(const std::string& address) {
+  const auto acceptor = m_acceptors.find(address);
+  if (acceptor == m_acceptors.end()) return SocketId();
   const SocketId id(++m_last_id);
   Connection& connection = m_connections.FindOrInsert(id);
   connection.connected = true;
-  SocketEvents* events = m_acceptors.at(address)->OnAccepted(id);
+  SocketEvents* events = acceptor->second->OnAccepted(id);
   connection.events = events;
   connection.open = events != nullptr;
   return id;
 }
 
+SocketId SocketsFake::ConnectUnaccepted() {
+  const SocketId id(++m_last_id);
+  m_connections.FindOrInsert(id).connected = true;
+  m_backlog.push_back(id);
+  return id;
+}
+
 void SocketsFake::Inject(SocketId id, std::string_view bytes) {
+  m_buffers.Enforce();
   const Connection* connection = m_connections.Find(id);
   if (connection->open) connection->events->OnBytes(id, bytes);
 }
--- a/tests/gateway_test_planned_stop.cc
+++ b/tests/gateway_test_planned_stop.cc
@@ -263,6 +263,26 @@
   LONGS_EQUAL(1, m_sockets.AllOutgoing().size());
 }
 
+// Guards against a process that ends before it accepts a caller's connection.
+TEST(PlannedStop, CallersThatConnectAtTheEndAreAnsweredOrRefused) {
+  Leave();
+  AdvanceTo(kBalancerTime);
+  const SocketId accepted = m_sockets.ConnectUnaccepted();
+  CHECK_FALSE(m_gateway.HasStopped(0));
+  AdvanceTo(kBalancerTime + milliseconds(60));
+  CHECK_FALSE(m_gateway.HasStopped(0));
+  CHECK(!m_sockets.ConnectAsCaller(kCallers).IsValid());
+  m_sockets.Inject(accepted,
+                   "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                   "X-Deadline-Ms: 500\r\nContent-Length: 2\r\n\r\nhi");
+  AdvanceTo(kBalancerTime + milliseconds(160));
+  CHECK_FALSE(m_gateway.HasStopped(0));
+  m_sockets.Inject(EstablishPlain(),
+                   HttpResponse(200, "X-Request-Id: r1\r\n", "ok"));
+  STRCMP_CONTAINS("HTTP/1.1 200", m_sockets.DrainOutput(accepted).c_str());
+  CHECK(RunUntilStopped() < seconds(3));
+}
+
 TEST_GROUP(Shutdown) { TimePoint m_start{seconds(100)}; };
 
 TEST(Shutdown, EveryStopTimeLeavesTimeToAnswerBeforeTheKill) {
