--- a/tests/adapters_test_caller_api.cc
+++ b/tests/adapters_test_caller_api.cc
@@ -6,14 +6,13 @@
 
 #include "burdockhill/adapters.h"
 #include "burdockhill/entry.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19486;
-
 class NoPeers : public PeerLink {
  public:
   void Connect(const VmName&, const std::string&) override {}
@@ -45,6 +44,7 @@
     });
   }
 
+  const FreePort m_port;
   SystemClock m_clock;
   Random m_random{5};
   Random m_same_random{5};  // Foretells the ids of requests.
@@ -61,7 +61,7 @@
       &m_store,
       &m_api};
   HttpServer m_server{
-      &m_loop, {{"127.0.0.1", kPort}, 5000, std::chrono::seconds(10)}, &m_api};
+      &m_loop, {m_port.Loopback(), 5000, std::chrono::seconds(10)}, &m_api};
   HttpClient m_client{&m_loop};
 };
 
@@ -69,7 +69,7 @@
 // a stream that broke off and ends as if it were complete.
 TEST(CallerApi, AStreamThatFailsIsAborted) {
   ClientRequest request;
-  request.address = {"127.0.0.1", kPort};
+  request.address = m_port.Loopback();
   request.method = "POST";
   request.path = "/v1/completions";
   request.content_type = "application/json";
--- a/tests/adapters_test_cut_heads.cc
+++ b/tests/adapters_test_cut_heads.cc
@@ -8,13 +8,13 @@
 #include <vector>
 
 #include "burdockhill/adapters.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19476;
 constexpr char kHead[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
 
 // Records whether a call succeeded or failed.
@@ -47,6 +47,7 @@
 }  // namespace
 
 TEST_GROUP(CutAnswers) {
+  const FreePort port;
   EventLoop loop;
   HttpClient http{&loop};
 
@@ -55,12 +56,11 @@
   OutcomeRecorder Run(const std::string& part, bool reset, const Call& call) {
     Settings settings;
     settings.serves_plain = true;
-    settings.back_ends = {
-        {EngineName("b"), "127.0.0.1:" + std::to_string(kPort)}};
+    settings.back_ends = {{EngineName("b"), port.Text()}};
     EngineClient client(&http, settings);
     OutcomeRecorder recorder;
     client.SetEvents(&recorder);
-    const RawServer server(kPort);
+    const RawServer server(port.Number());
     call(&client);
     server.Answer(&loop, part, reset);
     RunUntil(&loop, [&] { return recorder.failed || recorder.succeeded; });
@@ -113,14 +113,12 @@
 }
 
 TEST(CutAnswers, ListsOfTheStoreWithoutFramingAreNeverUsed) {
-  PlatformClient client(&http,
-                        *ParseAddress("127.0.0.1:" + std::to_string(kPort)),
-                        [](const std::string&) {});
+  PlatformClient client(&http, port.Loopback(), [](const std::string&) {});
   const std::string whole =
       "HTTP/1.1 200 OK\r\n\r\n"
       R"({"objects":[{"kind":"team","name":"a","version":3}],"revision":123})";
   for (size_t size = 0; size < whole.size(); ++size) {
-    const RawServer server(kPort);
+    const RawServer server(port.Number());
     std::optional<StoreStatus> status;
     client.Watch({"team"}, 0,
                  [&](StoreStatus result, const std::vector<StoredObject>&,
--- a/tests/adapters_test_engine_client.cc
+++ b/tests/adapters_test_engine_client.cc
@@ -6,14 +6,13 @@
 #include <string>
 
 #include "burdockhill/adapters.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19484;
-
 // Records the end of one call.
 struct CallRecorder : EngineEvents {
   void OnPrefillDone(const AttemptId&, const std::string&, const std::string&,
@@ -40,6 +39,7 @@
 }  // namespace
 
 TEST_GROUP(EngineClient) {
+  const FreePort port;
   EventLoop loop;
   HttpClient http{&loop};
 
@@ -47,12 +47,11 @@
   CallRecorder CallService(const std::string& response) {
     Settings settings;
     settings.serves_plain = true;
-    settings.back_ends = {
-        {EngineName("b"), "127.0.0.1:" + std::to_string(kPort)}};
+    settings.back_ends = {{EngineName("b"), port.Text()}};
     EngineClient client(&http, settings);
     CallRecorder recorder;
     client.SetEvents(&recorder);
-    const RawServer server(kPort);
+    const RawServer server(port.Number());
     burdockhill::CallService call;
     call.method = "GET";
     call.path = "/";
--- a/tests/adapters_test_platform_client.cc
+++ b/tests/adapters_test_platform_client.cc
@@ -7,14 +7,13 @@
 #include <vector>
 
 #include "burdockhill/adapters.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19485;
-
 std::string Response(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
@@ -35,17 +34,18 @@
 }  // namespace
 
 TEST_GROUP(PlatformClient) {
+  const FreePort port;
   EventLoop loop;
   HttpClient http{&loop};
   int warnings = 0;
-  PlatformClient client{
-      &http, {"127.0.0.1", kPort}, [this](const std::string&) { ++warnings; }};
+  PlatformClient client{&http, port.Loopback(),
+                        [this](const std::string&) { ++warnings; }};
 };
 
 // Guards against one unreadable entry that hides the others of a watch.
 TEST(PlatformClient, AnUnreadableObjectCostsOnlyItself) {
   for (const std::string& odd : OddEntries()) {
-    const RawServer server(kPort);
+    const RawServer server(port.Number());
     warnings = 0;
     StoreStatus status = StoreStatus::kUnavailable;
     std::vector<StoredObject> objects;
@@ -75,7 +75,7 @@
 // Guards against one unreadable VM that hides the others of the list.
 TEST(PlatformClient, AnUnreadableVmCostsOnlyItself) {
   for (const std::string& odd : OddEntries()) {
-    const RawServer server(kPort);
+    const RawServer server(port.Number());
     std::vector<ListedVm> vms;
     client.ListVms(
         [&](StoreStatus, const std::vector<ListedVm>& list) { vms = list; });
--- a/tests/http_test_sockets.cc
+++ b/tests/http_test_sockets.cc
@@ -11,14 +11,13 @@
 
 #include "burdockhill/http.h"
 #include "burdockhill/transport.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19483;
-
 struct FetchResult {
   bool done = false;
   CallEnd end = CallEnd::kBroken;
@@ -67,16 +66,17 @@
 }  // namespace
 
 TEST_GROUP(HttpClient) {
+  const FreePort port;
   EventLoop loop;
   HttpClient client{&loop};
 
   // Fetches from a server that sends `response` and then closes or resets the
   // connection.
   FetchResult FetchFrom(const std::string& response, bool reset) {
-    RawServer server(kPort);
+    RawServer server(port.Number());
     FetchResult result;
     ClientRequest request;
-    request.address = {"127.0.0.1", kPort};
+    request.address = port.Loopback();
     FetchResponse(&client, std::move(request),
                   [&](CallEnd end, int status, std::string body) {
                     result = {true, end, status, std::move(body)};
@@ -121,10 +121,10 @@
 }
 
 TEST(HttpClient, AResponseThatArrivedBeforeTheTimeoutIsReadAfterAPause) {
-  RawServer server(kPort);
+  RawServer server(port.Number());
   FetchResult result;
   ClientRequest request;
-  request.address = {"127.0.0.1", kPort};
+  request.address = port.Loopback();
   request.timeout = std::chrono::seconds(1);
   FetchResponse(&client, std::move(request),
                 [&](CallEnd end, int status, std::string body) {
@@ -139,6 +139,7 @@
 }
 
 TEST_GROUP(HttpServer) {
+  const FreePort port;
   EventLoop loop;
   Echo echo;
   std::unique_ptr<HttpServer> server;
@@ -146,7 +147,7 @@
 
   void setup() override {
     HttpServer::Options options;
-    options.address = {"127.0.0.1", 19480};
+    options.address = port.Loopback();
     options.max_body_bytes = 5000;
     server = std::make_unique<HttpServer>(&loop, options, &echo);
     echo.server = server.get();
@@ -162,7 +163,7 @@
 
   FetchResult Fetch(ClientRequest request) {
     FetchResult result;
-    request.address = {"127.0.0.1", 19480};
+    request.address = port.Loopback();
     FetchResponse(client.get(), std::move(request),
                   [&](CallEnd end, int status, std::string body) {
                     result = {true, end, status, std::move(body)};
@@ -177,7 +178,7 @@
     const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(19480);
+    address.sin_port = htons(port.Number());
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     LONGS_EQUAL(0, connect(socket_fd, reinterpret_cast<sockaddr*>(&address),
                            sizeof(address)));
@@ -228,7 +229,8 @@
 TEST(HttpServer, ReportsThatNothingListens) {
   FetchResult result;
   ClientRequest request;
-  request.address = {"127.0.0.1", 19499};
+  const FreePort unused_port;
+  request.address = unused_port.Loopback();
   FetchResponse(client.get(), request,
                 [&](CallEnd end, int status, std::string body) {
                   result = {true, end, status, std::move(body)};
@@ -241,7 +243,7 @@
   FetchResult result;
   bool has_data = false;
   ClientRequest request;
-  request.address = {"127.0.0.1", 19480};
+  request.address = port.Loopback();
   request.path = "/unfinished";
   ClientEvents events;
   events.on_data = [&](std::string_view) { has_data = true; };
@@ -258,7 +260,7 @@
 
 TEST(HttpServer, ReportsADisconnectedCaller) {
   ClientRequest request;
-  request.address = {"127.0.0.1", 19480};
+  request.address = port.Loopback();
   request.path = "/hold";
   const ClientCallId call = client->Start(request, {});
   RunUntilFlushed([&] { return echo.held.IsValid(); });
--- a/tests/transport_test.cc
+++ b/tests/transport_test.cc
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 
+#include "tests/free_port.h"
+
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
@@ -26,19 +28,21 @@
   std::vector<Message> messages;
 };
 
-PeerTransport::Options PeerOptions(const std::string& vm, uint16_t port,
+PeerTransport::Options PeerOptions(const std::string& vm, const FreePort& port,
                                    const std::string& key) {
   PeerTransport::Options options;
-  options.listen = {"127.0.0.1", port};
+  options.listen = port.Loopback();
   options.shared_key = key;
   options.self.vm = VmName(vm);
-  options.self.incarnation = Incarnation(port);
+  options.self.incarnation = Incarnation(vm.front());
   return options;
 }
 
 }  // namespace
 
 TEST_GROUP(Peers) {
+  const FreePort port_a;
+  const FreePort port_b;
   EventLoop loop;
   Random random{1};
   SystemClock clock;
@@ -48,13 +52,13 @@
   std::unique_ptr<PeerTransport> b;
 
   void ConnectPeers(const std::string& key_a, const std::string& key_b) {
-    a = std::make_unique<PeerTransport>(&loop, PeerOptions("a", 19481, key_a),
+    a = std::make_unique<PeerTransport>(&loop, PeerOptions("a", port_a, key_a),
                                         &random);
-    b = std::make_unique<PeerTransport>(&loop, PeerOptions("b", 19482, key_b),
+    b = std::make_unique<PeerTransport>(&loop, PeerOptions("b", port_b, key_b),
                                         &random);
     a->SetEvents(&events_a);
     b->SetEvents(&events_b);
-    a->Connect(VmName("b"), "127.0.0.1:19482");
+    a->Connect(VmName("b"), port_b.Text());
   }
 
   // Runs the event loop until `done` returns true; fails after kWaitTimeout.
@@ -82,7 +86,7 @@
 TEST(Peers, ANewConnectionReplacesTheOldOneWithoutPeerDown) {
   ConnectPeers("shared key of tests", "shared key of tests");
   RunUntil([&] { return events_b.up.size() == 1; });
-  a->Connect(VmName("b"), "127.0.0.1:19482");
+  a->Connect(VmName("b"), port_b.Text());
   RunUntil([&] { return events_b.up.size() == 2 && events_a.up.size() == 2; });
   a->Send(VmName("b"), Heartbeat{1, false});
   RunUntil([&] { return events_b.messages.size() == 1; });
--- a/tests/transport_test_tcp_sockets.cc
+++ b/tests/transport_test_tcp_sockets.cc
@@ -8,13 +8,13 @@
 #include <string>
 
 #include "burdockhill/transport.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19487;
 constexpr int kSmallReceiveBuffer = 8192;
 
 // Accepts one connection.
@@ -39,13 +39,13 @@
 
 TEST_GROUP(TcpSockets) {
   void setup() override {
-    m_sockets.Listen({"127.0.0.1", kPort}, &m_acceptor);
+    m_sockets.Listen(m_port.Loopback(), &m_acceptor);
     m_client = socket(AF_INET, SOCK_STREAM, 0);
     setsockopt(m_client, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
                sizeof kSmallReceiveBuffer);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
+    address.sin_port = htons(m_port.Number());
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     LONGS_EQUAL(0, connect(m_client, reinterpret_cast<sockaddr*>(&address),
                            sizeof address));
@@ -84,6 +84,7 @@
     return received;
   }
 
+  const FreePort m_port;
   SystemClock m_clock;
   EventLoop m_loop;
   TcpSockets m_sockets{&m_loop};
