--- a/tests/transport_test_tcp_sockets.cc
+++ b/tests/transport_test_tcp_sockets.cc
@@ -8,13 +8,13 @@
 #include <string>
 
 #include "burdockhill/transport.h"
+#include "tests/free_port.h"
 #include "tests/raw_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-constexpr uint16_t kPort = 19487;
 constexpr int kSmallReceiveBuffer = 8192;
 
 // Accepts one connection.
@@ -39,21 +39,21 @@
 
 TEST_GROUP(TcpSockets) {
   void setup() override {
-    m_sockets.Listen({"127.0.0.1", kPort}, &m_acceptor);
+    m_sockets.Listen(m_port.Loopback(), &m_acceptor);
     m_client = Connect();
     RunUntil(&m_loop, [&] { return m_acceptor.accepted.IsValid(); });
   }
   void teardown() override { close(m_client); }
 
-  static sockaddr_in ListeningAddress() {
+  sockaddr_in ListeningAddress() const {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
+    address.sin_port = htons(m_port.Number());
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     return address;
   }
   // A connection of a caller that takes little at a time.
-  static int Connect() {
+  int Connect() const {
     const int client = socket(AF_INET, SOCK_STREAM, 0);
     setsockopt(client, SOL_SOCKET, SO_RCVBUF, &kSmallReceiveBuffer,
                sizeof kSmallReceiveBuffer);
@@ -94,6 +94,7 @@
     return received;
   }
 
+  const FreePort m_port;
   SystemClock m_clock;
   EventLoop m_loop;
   TcpSockets m_sockets{&m_loop};
@@ -213,7 +214,7 @@
 TEST(TcpSockets, ConnectionsThatAreEstablishedAreAcceptedBeforeListeningEnds) {
   const int waiting = Connect();
   m_acceptor.accepted = SocketId();
-  m_sockets.StopListening({"127.0.0.1", kPort});
+  m_sockets.StopListening(m_port.Loopback());
   CHECK(m_acceptor.accepted.IsValid());
   const int late = socket(AF_INET, SOCK_STREAM, 0);
   const sockaddr_in address = ListeningAddress();
