--- a/burdockhill/src/adapters/engine_client.cc
+++ b/burdockhill/src/adapters/engine_client.cc
@@ -20,6 +20,8 @@
 constexpr int kHttpGone = 410;
 constexpr int kHttpServiceUnavailable = 503;
 constexpr std::string_view kDataField = "data: ";
+// Of an answer of a plain service. A message to a peer has it whole.
+constexpr size_t kMaxAnswerBytes = size_t{4} << 20;
 
 std::string FormatAddress(const Address& address) {
   return address.host + ":" + std::to_string(address.port);
@@ -117,6 +119,7 @@
   struct Stream {
     int status = 0;
     std::string partial_line;
+    size_t ignored_bytes = 0;  // Of an error.
   };
   auto stream = std::make_shared<Stream>();
   const AttemptId attempt = command.attempt;
@@ -124,9 +127,13 @@
   events.on_head = [stream](const http::Head& head) {
     stream->status = head.status;
   };
-  events.on_data = [this, attempt, stream](std::string_view data) {
-    if (stream->status != kHttpOk) return;
+  events.on_stream_data = [this, attempt, stream](std::string_view data) {
+    if (stream->status != kHttpOk) {
+      // Counts as kept, so that an error without end is ended too.
+      return stream->ignored_bytes += data.size();
+    }
     OnStreamData(attempt, &stream->partial_line, data);
+    return stream->partial_line.size();
   };
   events.on_end = [this, attempt, stream](CallEnd end) {
     // OnStreamLine() erases a call whose last event it has reported.
@@ -230,6 +237,7 @@
   request.timeout =
       std::max(std::chrono::seconds(1),
                std::chrono::duration_cast<std::chrono::seconds>(call.timeout));
+  request.max_kept_bytes = kMaxAnswerBytes;
   const AttemptId attempt = call.attempt;
   struct Answer {
     http::Head head;
--- a/burdockhill/src/adapters/platform_client.cc
+++ b/burdockhill/src/adapters/platform_client.cc
@@ -19,6 +19,8 @@
 // Longer than kWatchWaitMs, for which the platform may hold a watch.
 constexpr std::chrono::seconds kWatchTimeout{40};
 constexpr int kWatchWaitMs = 30'000;
+// Of one response, which may list all objects of the store.
+constexpr size_t kMaxResponseBytes = size_t{4} << 20;
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpConflict = 409;
@@ -188,6 +190,7 @@
   request.body = body;
   request.timeout =
       path.starts_with("/v1/watch") ? kWatchTimeout : kCallTimeout;
+  request.max_kept_bytes = kMaxResponseBytes;
   FetchResponse(m_client, std::move(request),
                 [done = std::move(done)](CallEnd end, int status,
                                          const std::string& answer) {
--- a/burdockhill/src/ctl/ctl_client.cc
+++ b/burdockhill/src/ctl/ctl_client.cc
@@ -4,6 +4,8 @@
 
 namespace {
 constexpr std::chrono::seconds kCallTimeout{5};
+// Of one answer, which may list all requests or VMs.
+constexpr size_t kMaxAnswerBytes = size_t{16} << 20;
 constexpr Duration kMaxLoopWait = std::chrono::milliseconds(50);
 }  // namespace
 
@@ -15,6 +17,7 @@
   request.path = path;
   request.body = body;
   request.timeout = kCallTimeout;
+  request.max_kept_bytes = kMaxAnswerBytes;
   CtlAnswer answer;
   bool done = false;
   FetchResponse(&m_client, std::move(request),
--- a/burdockhill/src/http/http_client.cc
+++ b/burdockhill/src/http/http_client.cc
@@ -19,7 +19,8 @@
 
 struct Call {
   ClientRequest request;
-  ClientEvents events;
+  // Shared, since a callback may cancel the call that it is called for.
+  std::shared_ptr<const ClientEvents> events;
   SocketId socket;
   TimerId timer;
   http::MessageReader reader{http::MessageKind::kResponse,
@@ -27,8 +28,14 @@
   bool connected = false;
   bool head_reported = false;
   bool reads_late = false;  // The time limit is over.
+  size_t kept_bytes = 0;    // Of the body, by the receiver.
+  BufferCharge charge;
 };
 
+std::string SourceName(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
 std::string Format(const ClientRequest& request) {
   http::Head head;
   head.method = request.method;
@@ -43,7 +50,7 @@
 
 }  // namespace
 
-class HttpClient::Impl : private SocketEvents {
+class HttpClient::Impl : private SocketEvents, private BufferOwner {
  public:
   explicit Impl(EventLoop* loop) : m_loop(loop), m_sockets(loop) {}
 
@@ -55,7 +62,10 @@
     const ClientCallId id(++m_last_call_id);
     Call& call = m_calls.FindOrInsert(id);
     call.request = std::move(request);
-    call.events = std::move(events);
+    call.events = std::make_shared<const ClientEvents>(std::move(events));
+    call.charge.Open(&m_sockets.Buffers(), BufferKind::kAnswer,
+                     SourceName(call.request.address), this,
+                     BufferKey(id.Value()));
     if (call.request.method == kHeadMethod) call.reader.ExpectNoBody();
     call.socket = m_sockets.Connect(call.request.address, this);
     if (call.socket.IsValid()) m_calls_by_socket.FindOrInsert(call.socket, id);
@@ -82,11 +92,11 @@
     SetTimer(id, call, kLateReadTime);
   }
 
-  // Returns the callbacks of the removed call.
-  ClientEvents Remove(ClientCallId id, bool reset) {
+  // Returns the callbacks of the removed call, or nullptr if there is none.
+  std::shared_ptr<const ClientEvents> Remove(ClientCallId id, bool reset) {
     Call* call = m_calls.Find(id);
-    if (call == nullptr) return {};
-    ClientEvents events = std::move(call->events);
+    if (call == nullptr) return nullptr;
+    std::shared_ptr<const ClientEvents> events = std::move(call->events);
     const SocketId socket = call->socket;
     m_loop->CancelTimer(call->timer);
     m_calls_by_socket.Erase(socket);
@@ -95,13 +105,44 @@
     return events;
   }
 
-  void Fail(ClientCallId id) {
+  void Fail(ClientCallId id, CallEnd end = CallEnd::kBroken) {
     const Call* call = m_calls.Find(id);
     if (call == nullptr) return;
-    const CallEnd end =
-        call->connected ? CallEnd::kBroken : CallEnd::kNotConnected;
-    const ClientEvents events = Remove(id, /*reset=*/true);
-    if (events.on_end) events.on_end(end);
+    if (!call->connected) end = CallEnd::kNotConnected;
+    const auto events = Remove(id, /*reset=*/true);
+    if (events->on_end) events->on_end(end);
+  }
+
+  // Ends a call that exceeds a bound of its own.
+  void FailTooLarge(ClientCallId id, const Call& call, size_t bound) {
+    m_sockets.Buffers().ReportOverflow({BufferKind::kAnswer,
+                                        SourceName(call.request.address),
+                                        call.charge.Bytes(), bound});
+    Fail(id, CallEnd::kTooLarge);
+  }
+
+  void OnBufferEvicted(BufferKey key) override {
+    Fail(ClientCallId(key.Value()), CallEnd::kTooLarge);
+  }
+
+  // Passes data of the body to the receiver. Returns the call, or nullptr if it
+  // has ended meanwhile.
+  Call* Deliver(ClientCallId id, Call* call, std::string_view data) {
+    const std::shared_ptr<const ClientEvents> events = call->events;
+    size_t kept = call->kept_bytes;
+    if (events->on_stream_data) {
+      kept = events->on_stream_data(data);
+    } else if (events->on_data) {
+      kept += data.size();
+      events->on_data(data);
+    }
+    call = m_calls.Find(id);
+    if (call == nullptr) return nullptr;
+    call->kept_bytes = kept;
+    call->charge.SetBytes(call->reader.HeadMemory() + kept);
+    if (kept <= call->request.max_kept_bytes) return call;
+    FailTooLarge(id, *call, call->request.max_kept_bytes);
+    return nullptr;
   }
 
   // Reports what the reader has parsed, and the end of the call if the response
@@ -110,21 +151,24 @@
     Call* call = m_calls.Find(id);
     if (call == nullptr) return;
     if (call->reader.HasHead() && !std::exchange(call->head_reported, true) &&
-        call->events.on_head) {
-      call->events.on_head(call->reader.MessageHead());
+        call->events->on_head) {
+      const std::shared_ptr<const ClientEvents> events = call->events;
+      events->on_head(call->reader.MessageHead());
       call = m_calls.Find(id);
       if (call == nullptr) return;
     }
     const std::string body = std::exchange(call->reader.Body(), {});
-    if (!body.empty() && call->events.on_data) {
-      call->events.on_data(body);
-      call = m_calls.Find(id);
+    if (!body.empty()) {
+      call = Deliver(id, call, body);
       if (call == nullptr) return;
     }
+    if (call->reader.Error() == http::ReadError::kHeaderTooLarge) {
+      return FailTooLarge(id, *call, kMaxResponseHeaderBytes);
+    }
     if (call->reader.Error() != http::ReadError::kNone) return Fail(id);
     if (!call->reader.IsComplete()) return;
-    const ClientEvents events = Remove(id, /*reset=*/false);
-    if (events.on_end) events.on_end(CallEnd::kComplete);
+    const auto events = Remove(id, /*reset=*/false);
+    if (events->on_end) events->on_end(CallEnd::kComplete);
   }
 
   ClientCallId CallIdOf(SocketId socket) const {
@@ -149,6 +193,7 @@
     Call* call = m_calls.Find(id);
     if (call == nullptr) return;
     call->reader.Consume(bytes);
+    call->charge.SetBytes(call->reader.HeadMemory() + call->kept_bytes);
     Report(id);
   }
 
@@ -195,6 +240,7 @@
   };
   events.on_data = [state](std::string_view data) { state->body += data; };
   events.on_end = [state, done = std::move(done)](CallEnd end) {
+    if (end == CallEnd::kTooLarge) std::string().swap(state->body);
     done(end, state->status, std::move(state->body));
   };
   return client->Start(std::move(request), std::move(events));
--- a/burdockhill/src/http/http_client.h
+++ b/burdockhill/src/http/http_client.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKHILL_SRC_HTTP_HTTP_CLIENT_H_
 #define BURDOCKHILL_SRC_HTTP_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,7 @@
   kComplete,      // The response was received completely, by its framing.
   kNotConnected,  // No connection was established, so nothing was sent.
   kBroken,        // The connection failed, or the call exceeded its timeout.
+  kTooLarge,      // More was received than may be kept; the rest is missing.
 };
 
 struct ClientRequest {
@@ -35,17 +37,26 @@
   // From the sending of the request to the complete response; zero for no
   // limit.
   std::chrono::seconds timeout{0};
+  // Bytes of the response that the receiver may keep. The call ends if there
+  // are more, and also if the process keeps too much in total and most of it
+  // for calls to this address.
+  size_t max_kept_bytes = size_t{1} << 20;
 };
 
 // Callbacks of one call. Any of them may cancel the call. `on_end` is called
 // last and exactly once, unless the call is cancelled.
 struct ClientEvents {
   std::function<void(const http::Head& head)> on_head;
+  // Gets data of the body, all of which counts as kept.
   std::function<void(std::string_view data)> on_data;
+  // In place of `on_data`, for a receiver that keeps only a part. Returns how
+  // many bytes of the response it keeps from now on, these and earlier ones.
+  std::function<size_t(std::string_view data)> on_stream_data;
   std::function<void(CallEnd end)> on_end;
 };
 
-// HTTP client that opens a new connection for each call.
+// HTTP client that opens a new connection for each call. Charges what is kept
+// of the responses to the budget of the event loop.
 class HttpClient {
  public:
   // Throws std::runtime_error if the sockets cannot be attached to the loop.
@@ -68,7 +79,7 @@
 
 // Starts a call and passes its complete response to `done`. After a failure,
 // `status` is 0 unless the response header was received, and `body` may be
-// partial.
+// partial; it is empty if the response is too large.
 ClientCallId FetchResponse(
     HttpClient* client, ClientRequest request,
     std::function<void(CallEnd end, int status, std::string body)> done);
--- a/load/burdockhill_load.cc
+++ b/load/burdockhill_load.cc
@@ -207,9 +207,9 @@
     events.on_head = [call](const http::Head& head) {
       call->status = head.status;
     };
-    events.on_data = [this, call, token_marker,
-                      end_marker](std::string_view data) {
-      if (call->status != 200) return;
+    events.on_stream_data = [this, call, token_marker,
+                             end_marker](std::string_view data) -> size_t {
+      if (call->status != 200) return 0;
       const TimePoint now = m_clock.Now();
       if (!call->first_token_at.has_value()) call->first_token_at = now;
       call->last_token_at = now;
@@ -223,6 +223,7 @@
       if (call->tail.find(end_marker) != std::string::npos) call->whole = true;
       const size_t line = call->tail.rfind('\n');
       if (line != std::string::npos) call->tail.erase(0, line + 1);
+      return call->tail.size();
     };
     events.on_end = [this](CallEnd /*end*/) { --m_open_requests; };
     return events;
