--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -14,6 +14,7 @@
 #include "burdockhill/src/daemon/process_support.h"
 #include "burdockhill/src/daemon/stop_signal.h"
 #include "burdockhill/src/entry/entry_core.h"
+#include "burdockhill/src/gateway/settings.h"
 #include "burdockhill/src/transport/event_loop.h"
 #include "burdockhill/src/transport/peer_transport.h"
 
@@ -48,6 +49,34 @@
                                          kRequestsPerMicrosecond));
 }
 
+// Limits what a process keeps for others, and logs what it ends because of it.
+class BufferLog : public BufferObserver {
+ public:
+  BufferLog(BufferBudget* budget, std::string component)
+      : m_budget(budget), m_component(std::move(component)) {
+    m_budget->SetLimit(GatewaySettings().MaxBufferedBytes());
+    m_budget->SetObserver(this);
+  }
+  ~BufferLog() override { m_budget->SetObserver(nullptr); }
+  BufferLog(const BufferLog&) = delete;
+  BufferLog& operator=(const BufferLog&) = delete;
+
+  void OnBufferOverflow(const BufferOverflow& overflow) override {
+    LogWarning(
+        m_component,
+        "Ended: " + std::string(BufferKindName(overflow.kind)) + " of " +
+            overflow.source + " has " + std::to_string(overflow.bytes) +
+            " bytes; the bound " +
+            (overflow.is_bound_of_process ? "of the process is " : "is ") +
+            std::to_string(overflow.bound) + ", and the process keeps " +
+            std::to_string(m_budget->TotalBytes()) + " bytes.");
+  }
+
+ private:
+  BufferBudget* m_budget;
+  std::string m_component;
+};
+
 // Runs the event loop until a stop was requested and either `core` is idle or
 // the drain limit has passed. Returns the exit code.
 template <typename Core>
@@ -105,6 +134,7 @@
   Random random(RandomSeed());
   const Incarnation incarnation(random.NextId());
   EventLoop loop;
+  const BufferLog buffer_log(&loop.Buffers(), "entry");
   WatchStopSignals(&loop);
   PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
   HttpClient client(&loop);
@@ -138,6 +168,7 @@
   Random random(RandomSeed());
   const Incarnation incarnation(random.NextId());
   EventLoop loop;
+  const BufferLog buffer_log(&loop.Buffers(), "agent");
   WatchStopSignals(&loop);
   PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
   HttpClient client(&loop);
