--- a/burdockhill/src/http/http_server.cc
+++ b/burdockhill/src/http/http_server.cc
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-class HttpServer::Impl : private http::ServerEvents {
+class HttpServer::Impl : private http::ServerEvents, private BufferOwner {
  public:
   Impl(EventLoop* loop, const Options& options, HttpHandler* handler)
       : m_loop(loop),
@@ -78,20 +78,28 @@
   }
 
   void WriteStream(ExchangeId id, std::string_view data) {
-    if (m_server.IsOpen(id)) m_queued.FindOrInsert(id).append(data);
+    if (!m_server.IsOpen(id)) return;
+    Queued& queued = m_queued.FindOrInsert(id);
+    if (queued.data.empty()) {
+      queued.charge.Open(&m_sockets.Buffers(), BufferKind::kOutput,
+                         "response " + std::to_string(id.Value()), this,
+                         BufferKey(id.Value()));
+    }
+    queued.data.append(data);
+    queued.charge.SetBytes(queued.data.capacity());
   }
 
   void EndStream(ExchangeId id) {
-    if (const std::string* data = m_queued.Find(id)) {
-      m_server.WriteStream(id, *data);
+    if (const Queued* queued = m_queued.Find(id)) {
+      m_server.WriteStream(id, queued->data);
       m_queued.Erase(id);
     }
     m_server.EndStream(id);
   }
 
   void Flush() {
-    for (const auto& [id, data] : std::exchange(m_queued, {})) {
-      m_server.WriteStream(id, data);
+    for (const auto& [id, queued] : std::exchange(m_queued, {})) {
+      m_server.WriteStream(id, queued.data);
     }
   }
 
@@ -105,8 +113,9 @@
   }
 
   size_t PendingBytes(ExchangeId id) const {
-    const std::string* data = m_queued.Find(id);
-    return m_server.PendingBytes(id) + (data == nullptr ? 0 : data->size());
+    const Queued* queued = m_queued.Find(id);
+    return m_server.PendingBytes(id) +
+           (queued == nullptr ? 0 : queued->data.size());
   }
 
   size_t OpenExchangeCount() const { return m_server.OpenExchangeCount(); }
@@ -116,6 +125,15 @@
   }
 
  private:
+  struct Queued {
+    std::string data;
+    BufferCharge charge;
+  };
+
+  void OnBufferEvicted(BufferKey key) override {
+    Abort(ExchangeId(key.Value()));
+  }
+
   void ScheduleTimeoutCheck() {
     m_check_timer = m_loop->CallAfter(kTimeoutCheckInterval, [this] {
       const TimePoint now = m_clock.Now();
@@ -150,8 +168,8 @@
   http::Server m_server;
   TimerId m_check_timer;
   TimerId m_abort_timer;
-  std::vector<ExchangeId> m_aborted;        // OnClosed is still to be called.
-  Table<ExchangeId, std::string> m_queued;  // Data of streams, until Flush.
+  std::vector<ExchangeId> m_aborted;   // OnClosed is still to be called.
+  Table<ExchangeId, Queued> m_queued;  // Data of streams, until Flush.
 };
 
 HttpServer::HttpServer(EventLoop* loop, const Options& options,
--- a/tests/http_test_client_bytes_without_end.cc
+++ b/tests/http_test_client_bytes_without_end.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "burdockhill/http.h"
@@ -184,3 +185,50 @@
   server.RunUntil(&loop, [&] { return cancelled; });
   LONGS_EQUAL(0, loop.Buffers().TotalBytes());
 }
+
+TEST(ClientBytesWithoutEnd, QueuedStreamsAreChargedAndASmallOneStays) {
+  struct Streams : HttpHandler {
+    void OnRequest(ExchangeId id, HttpRequest request) override {
+      server->StartStream(id, 200, "text/event-stream");
+      const size_t bytes = request.path == "/large" ? 4 * kMegabyte : 5;
+      server->WriteStream(id, std::string(bytes, 'q'));
+      if (request.path == "/small") small = id;
+    }
+    void OnClosed(ExchangeId) override { ++closed; }
+    HttpServer* server = nullptr;
+    ExchangeId small;
+    int closed = 0;
+  };
+  Streams streams;
+  HttpServer::Options options;
+  options.address = {"127.0.0.1", 19475};
+  HttpServer server(&loop, options, &streams);
+  streams.server = &server;
+  loop.Buffers().SetLimit(2 * kMegabyte);
+  Result large;
+  Result small;
+  for (const auto& [path, result] :
+       {std::pair("/small", &small), std::pair("/large", &large)}) {
+    ClientRequest request;
+    request.address = options.address;
+    request.path = path;
+    FetchResponse(&client, std::move(request),
+                  [result](CallEnd end, int status, std::string body) {
+                    *result = {end, status, std::move(body)};
+                  });
+  }
+  EndlessServer no_server(kPort, "", "");
+  no_server.RunUntil(&loop, [&] {
+    loop.Buffers().Enforce();
+    return streams.closed == 1;
+  });
+  CHECK(loop.Buffers().TotalBytes() < kMegabyte);
+  LONGS_EQUAL(1, observer.overflows.size());
+  CHECK(observer.overflows[0].kind == BufferKind::kOutput);
+  no_server.RunUntil(&loop, [&] { return large.end.has_value(); });
+  CHECK(large.end == CallEnd::kBroken);
+  server.EndStream(streams.small);
+  no_server.RunUntil(&loop, [&] { return small.end.has_value(); });
+  CHECK(small.end == CallEnd::kComplete);
+  STRCMP_EQUAL("qqqqq", small.body.c_str());
+}
