--- a/burdockhill/src/agent/agent_blackboard.h
+++ b/burdockhill/src/agent/agent_blackboard.h
@@ -3,12 +3,14 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "burdockhill/src/agent/engine_link.h"
 #include "burdockhill/src/agent/replay_buffer.h"
+#include "burdockhill/src/base/buffer_budget.h"
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
 #include "burdockhill/src/base/table.h"
@@ -56,6 +58,10 @@
   std::optional<PrefillDone> prefill_done;
   std::optional<CallAnswered> call_answer;
   std::optional<ErrorKind> failure;
+  // Of the results above, which are kept so that they can be sent again. Open
+  // once the attempt was sent to the back end.
+  std::unique_ptr<BufferCharge> result_charge;
+  BufferKey buffer_key;
   // The entry cancelled this running call or its hold expired. The call is left
   // to finish, because closing its connection would not undo its effects.
   bool abandoned = false;
@@ -127,6 +133,11 @@
   // The configuration in force drains this upstream.
   bool drain_configured = false;
 
+  // What results are charged to, or nullptr.
+  BufferBudget* buffers = nullptr;
+  BufferOwner* buffer_owner = nullptr;
+  uint64_t last_buffer_key = 0;
+
   std::map<EngineName, Engine> engines;
   Table<AttemptId, Attempt> attempts;
   // Attempts that must not start any more, with the expiry of each tombstone.
--- a/burdockhill/src/agent/agent_core.cc
+++ b/burdockhill/src/agent/agent_core.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "burdockhill/src/agent/attempt_operations.h"
+
 namespace burdockhill {
 
 AgentCore::AgentCore(
@@ -26,6 +28,18 @@
   UpdateNow();
 }
 
+void AgentCore::SetBuffers(BufferBudget* buffers) {
+  m_board.buffers = buffers;
+  m_board.buffer_owner = this;
+}
+
+void AgentCore::OnBufferEvicted(BufferKey key) {
+  for (auto& [id, attempt] : m_board.attempts) {
+    if (attempt.result_charge == nullptr || attempt.buffer_key != key) continue;
+    return internal::DropResults(&m_board, &attempt);
+  }
+}
+
 void AgentCore::Leave() { m_shutting_down = true; }
 
 bool AgentCore::IsIdle() const {
--- a/burdockhill/src/agent/agent_core.h
+++ b/burdockhill/src/agent/agent_core.h
@@ -19,12 +19,16 @@
 // The agent without I/O: a blackboard and its controllers. The owner passes
 // events in, and calls Tick after each batch of events and at least every
 // 20 ms.
-class AgentCore : public PeerEvents, public EngineEvents {
+class AgentCore : public PeerEvents, public EngineEvents, private BufferOwner {
  public:
   AgentCore(const AgentIdentity& self,
             const std::vector<std::pair<EngineName, std::string>>& back_ends,
             const Clock* clock, PeerLink* peers, EngineLink* engines);
 
+  // Charges what is kept of the results of attempts to `buffers`, which must
+  // outlive the agent. Call it before the first event.
+  void SetBuffers(BufferBudget* buffers);
+
   // Starts a graceful shutdown: new attempts are refused from now on.
   void Leave();
 
@@ -57,6 +61,7 @@
                      const std::optional<EngineState>& state) override;
 
  private:
+  void OnBufferEvicted(BufferKey key) override;
   void UpdateNow() { m_board.now = m_clock->Now(); }
 
   const Clock* m_clock;
--- a/burdockhill/src/agent/attempt_operations.cc
+++ b/burdockhill/src/agent/attempt_operations.cc
@@ -63,6 +63,48 @@
   attempt->reserved_pieces = Pieces(0);
 }
 
+void OpenResultCharge(AgentBlackboard* board, Attempt* attempt) {
+  const auto found = board->engines.find(attempt->engine);
+  if (board->buffers == nullptr || found == board->engines.end()) return;
+  attempt->buffer_key = BufferKey(++board->last_buffer_key);
+  attempt->result_charge = std::make_unique<BufferCharge>();
+  attempt->result_charge->Open(board->buffers, BufferKind::kAnswer,
+                               found->second.address, board->buffer_owner,
+                               attempt->buffer_key);
+}
+
+void UpdateResultCharge(Attempt* attempt) {
+  if (attempt->result_charge == nullptr) return;
+  size_t bytes = attempt->replay.KeptBytes();
+  if (attempt->prefill_done.has_value()) {
+    bytes += attempt->prefill_done->kv_handle.size();
+  }
+  if (attempt->call_answer.has_value()) {
+    bytes += attempt->call_answer->body.size();
+  }
+  attempt->result_charge->SetBytes(bytes);
+}
+
+void ReportTooLarge(const AgentBlackboard& board, const Attempt& attempt) {
+  const auto found = board.engines.find(attempt.engine);
+  if (board.buffers == nullptr || found == board.engines.end()) return;
+  board.buffers->ReportOverflow({BufferKind::kAnswer, found->second.address,
+                                 attempt.replay.KeptBytes(),
+                                 ReplayBuffer::kMaxKeptBytes});
+}
+
+void DropResults(AgentBlackboard* board, Attempt* attempt) {
+  attempt->replay.Drop();
+  attempt->prefill_done.reset();
+  attempt->call_answer.reset();
+  UpdateResultCharge(attempt);
+  if (attempt->failure.has_value()) return;
+  attempt->failure = ErrorKind::kUpstreamFailed;
+  if (attempt->phase == AttemptPhase::kRunning) {
+    board->attempts_to_fail.emplace_back(attempt->id, *attempt->failure);
+  }
+}
+
 void SendAttemptStatus(PeerLink* peers, const Attempt& attempt,
                        uint64_t offset) {
   const VmName& to = attempt.entry;
--- a/burdockhill/src/agent/attempt_operations.h
+++ b/burdockhill/src/agent/attempt_operations.h
@@ -28,6 +28,18 @@
 // engine's backlog. Does nothing if none is held.
 void ReleaseResources(AgentBlackboard* board, Attempt* attempt);
 
+// Charges the results of an attempt to the back end that it is sent to.
+void OpenResultCharge(AgentBlackboard* board, Attempt* attempt);
+
+// Charges what is kept of the results.
+void UpdateResultCharge(Attempt* attempt);
+
+// Reports that more results arrived than are kept of one attempt.
+void ReportTooLarge(const AgentBlackboard& board, const Attempt& attempt);
+
+// Fails the attempt for good and frees its results.
+void DropResults(AgentBlackboard* board, Attempt* attempt);
+
 // Sends the entry the current status or result of an attempt; for a decode, the
 // stream from token `offset` on.
 void SendAttemptStatus(PeerLink* peers, const Attempt& attempt,
--- a/burdockhill/src/agent/decode_reservation.cc
+++ b/burdockhill/src/agent/decode_reservation.cc
@@ -63,6 +63,7 @@
   attempt->phase = AttemptPhase::kRunning;
   attempt->started_at = m_board->now;
   attempt->replay.Reset(message.first_offset);
+  internal::OpenResultCharge(m_board, attempt);
   ++m_board->counters.decodes;
   DecodeCommand decode;
   decode.attempt = message.attempt;
@@ -80,7 +81,13 @@
                                  const std::string& finish_reason) {
   Attempt* attempt = m_board->attempts.Find(id);
   if (attempt == nullptr || attempt->phase != AttemptPhase::kRunning) return;
+  if (attempt->failure.has_value()) return;
+  if (!attempt->replay.Fits(tokens, text)) {
+    internal::ReportTooLarge(*m_board, *attempt);
+    return internal::DropResults(m_board, attempt);
+  }
   if (!attempt->replay.Append(offset, tokens, text, finish_reason)) return;
+  internal::UpdateResultCharge(attempt);
   m_board->counters.tokens += tokens;
   m_peers->Send(attempt->entry,
                 StreamChunk{id, offset, tokens, text, finish_reason});
--- a/burdockhill/src/agent/plain_calls.cc
+++ b/burdockhill/src/agent/plain_calls.cc
@@ -32,6 +32,7 @@
   attempt.queued_at = m_board->now;
   attempt.started_at = m_board->now;
   attempt.hold_expires_at = m_board->now + kHoldTimeout;
+  internal::OpenResultCharge(m_board, &attempt);
   ++back_end.used_slots;
   ++m_board->counters.calls;
   m_engines->Call(back_end.name, call);
@@ -49,6 +50,7 @@
     return;
   }
   attempt->call_answer = CallAnswered{id, status, content_type, body};
+  internal::UpdateResultCharge(attempt);
   m_peers->Send(attempt->entry, *attempt->call_answer);
 }
 
--- a/burdockhill/src/agent/prefill_queue.cc
+++ b/burdockhill/src/agent/prefill_queue.cc
@@ -69,9 +69,11 @@
                                  Tokens reused) {
   Attempt* attempt = m_board->attempts.Find(id);
   if (attempt == nullptr || attempt->phase != AttemptPhase::kRunning) return;
+  internal::OpenResultCharge(m_board, attempt);
   internal::ReleaseResources(m_board, attempt);
   attempt->phase = AttemptPhase::kDone;
   attempt->prefill_done = PrefillDone{id, kv_handle, kv_source, prompt, reused};
+  internal::UpdateResultCharge(attempt);
   m_peers->Send(attempt->entry, *attempt->prefill_done);
 }
 
--- a/burdockhill/src/agent/replay_buffer.cc
+++ b/burdockhill/src/agent/replay_buffer.cc
@@ -18,6 +18,16 @@
   return true;
 }
 
+bool ReplayBuffer::Fits(uint32_t tokens, const std::string& text) const {
+  return KeptBytes() + KeptBytes(tokens, text) <= kMaxKeptBytes;
+}
+
+void ReplayBuffer::Drop() {
+  m_first_offset = NextOffset();
+  std::string().swap(m_text);
+  std::vector<uint32_t>().swap(m_token_ends);
+}
+
 StreamChunk ReplayBuffer::ChunkFrom(const AttemptId& attempt,
                                     uint64_t offset) const {
   StreamChunk chunk;
--- a/burdockhill/src/agent/replay_buffer.h
+++ b/burdockhill/src/agent/replay_buffer.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKHILL_SRC_AGENT_REPLAY_BUFFER_H_
 #define BURDOCKHILL_SRC_AGENT_REPLAY_BUFFER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -14,6 +15,9 @@
 // count the tokens of the whole answer, over all attempts.
 class ReplayBuffer {
  public:
+  // All text may be sent in one message.
+  static constexpr size_t kMaxKeptBytes = size_t{4} << 20;
+
   // Clears the buffer. `first_offset` is the number of tokens that earlier
   // attempts delivered.
   void Reset(uint64_t first_offset) {
@@ -28,6 +32,15 @@
   bool Append(uint64_t offset, uint32_t tokens, const std::string& text,
               const std::string& finish_reason);
 
+  // Whether the buffer stays within its bound with these tokens.
+  bool Fits(uint32_t tokens, const std::string& text) const;
+
+  // Frees the buffered tokens; they cannot be resumed any more.
+  void Drop();
+
+  // Memory of the buffered tokens, in bytes.
+  size_t KeptBytes() const { return KeptBytes(m_token_ends.size(), m_text); }
+
   uint64_t NextOffset() const { return m_first_offset + m_token_ends.size(); }
   bool IsFinished() const { return !m_finish_reason.empty(); }
 
@@ -37,6 +50,10 @@
   StreamChunk ChunkFrom(const AttemptId& attempt, uint64_t offset) const;
 
  private:
+  static size_t KeptBytes(size_t tokens, const std::string& text) {
+    return text.size() + tokens * sizeof(uint32_t);
+  }
+
   uint64_t m_first_offset = 0;
   std::string m_text;
   std::vector<uint32_t> m_token_ends;  // End of each token in m_text, bytes.
--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -187,6 +187,7 @@
     back_ends.emplace_back(back_end.name, back_end.address);
   }
   AgentCore core(self, back_ends, &clock, &peers, &engines);
+  core.SetBuffers(&loop.Buffers());
   peers.SetEvents(&core);
   engines.SetEvents(&core);
   AddAgentPages(&operators, &core);
