--- a/burdockhill/src/adapters/caller_api.cc
+++ b/burdockhill/src/adapters/caller_api.cc
@@ -16,7 +16,8 @@
 constexpr char kEventStream[] = "text/event-stream";
 constexpr std::string_view kServicesPath = "/services/";
 constexpr std::string_view kBearer = "Bearer ";
-// A stream with more unsent bytes is aborted: its caller reads too slowly.
+// A stream with more unsent bytes is aborted: its caller reads too slowly. So
+// is a response that is sent at once and has more output.
 constexpr size_t kMaxBacklogBytes = size_t{4} << 20;
 
 HttpHeaders RequestIdHeaders(RequestId id) {
@@ -75,10 +76,7 @@
 void CallerApi::OnTokens(RequestId id, const std::string& text) {
   OpenRequest* open = m_open_requests.Find(id);
   if (open == nullptr) return;
-  if (!open->stream) {
-    open->output += text;
-    return;
-  }
+  if (!open->stream) return KeepOutput(id, open, text);
   if (!open->head_sent) {
     open->head_sent = true;
     HttpHeaders headers = RequestIdHeaders(id);
@@ -93,6 +91,32 @@
   }
 }
 
+void CallerApi::KeepOutput(RequestId id, OpenRequest* open,
+                           const std::string& text) {
+  if (open->output_charge == nullptr) {
+    open->output_charge = std::make_unique<BufferCharge>();
+    open->output_charge->Open(&m_server->Buffers(), BufferKind::kAnswer,
+                              FormatRequestId(id), this, BufferKey(id.Value()));
+  }
+  open->output += text;
+  open->output_charge->SetBytes(open->output.capacity());
+  if (open->output.size() <= kMaxBacklogBytes) return;
+  m_server->Buffers().ReportOverflow({BufferKind::kAnswer, FormatRequestId(id),
+                                      open->output.size(), kMaxBacklogBytes});
+  std::string().swap(open->output);
+  open->output_charge->SetBytes(0);
+  m_server->Abort(open->exchange);
+}
+
+void CallerApi::OnBufferEvicted(BufferKey key) {
+  const RequestId id(key.Value());
+  RequestError error;
+  error.kind = ErrorKind::kUpstreamFailed;
+  error.outcome = Outcome::kUnknown;
+  OnError(id, error);
+  m_core->OnCallerDisconnected(id);
+}
+
 void CallerApi::OnFinished(RequestId id, const std::string& finish_reason,
                            const TokenUsage& usage) {
   OpenRequest* open = m_open_requests.Find(id);
--- a/burdockhill/src/adapters/caller_api.h
+++ b/burdockhill/src/adapters/caller_api.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "burdockhill/src/adapters/openai_answer.h"
+#include "burdockhill/src/base/buffer_budget.h"
 #include "burdockhill/src/base/random.h"
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/entry/caller_port.h"
@@ -15,7 +16,7 @@
 
 // The HTTP API for callers: OpenAI-compatible completions, the list of models,
 // and plain services under /services/.
-class CallerApi : public HttpHandler, public CallerPort {
+class CallerApi : public HttpHandler, public CallerPort, private BufferOwner {
  public:
   explicit CallerApi(Random* random) : m_random(random) {}
 
@@ -45,8 +46,11 @@
     bool include_usage = false;
     bool head_sent = false;
     std::string output;  // Output so far, if not streaming.
+    std::unique_ptr<BufferCharge> output_charge;  // Open once there is output.
   };
 
+  void OnBufferEvicted(BufferKey key) override;
+  void KeepOutput(RequestId id, OpenRequest* open, const std::string& text);
   void OnCompletion(ExchangeId id, CompletionStyle style,
                     const HttpRequest& request);
   void OnServiceCall(ExchangeId id, HttpRequest request);
--- a/burdockhill/src/http/http_server.cc
+++ b/burdockhill/src/http/http_server.cc
@@ -118,6 +118,8 @@
            (queued == nullptr ? 0 : queued->data.size());
   }
 
+  BufferBudget& Buffers() { return m_sockets.Buffers(); }
+
   size_t OpenExchangeCount() const { return m_server.OpenExchangeCount(); }
 
   bool HasUnsentBytes() const {
@@ -178,6 +180,8 @@
 
 HttpServer::~HttpServer() = default;
 
+BufferBudget& HttpServer::Buffers() { return m_impl->Buffers(); }
+
 void HttpServer::Respond(ExchangeId id, int status,
                          std::string_view content_type, const std::string& body,
                          const HttpHeaders& headers) {
--- a/burdockhill/src/http/http_server.h
+++ b/burdockhill/src/http/http_server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "burdockhill/src/base/address.h"
+#include "burdockhill/src/base/buffer_budget.h"
 #include "burdockhill/src/http/server.h"
 
 namespace burdockhill {
@@ -58,6 +59,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // The budget of the process, which requests and responses are charged to.
+  BufferBudget& Buffers();
+
   // An id that is no longer valid is ignored by the functions below.
 
   // Sends a response with a complete body.
--- a/tests/adapters_test_bytes_without_end.cc
+++ b/tests/adapters_test_bytes_without_end.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "burdockhill/adapters.h"
+#include "burdockhill/entry.h"
 #include "tests/endless_server.h"
 
 using namespace burdockhill;  // NOLINT(google-build-using-namespace)
@@ -18,6 +19,7 @@
 constexpr uint16_t kFaultyPort = 19472;
 constexpr uint16_t kSoundPort = 19473;
 constexpr uint16_t kStorePort = 19474;
+constexpr uint16_t kCallersPort = 19475;
 constexpr size_t kKilobyte = 1024;
 constexpr size_t kMegabyte = kKilobyte * kKilobyte;
 constexpr char kHead[] = "HTTP/1.1 200 OK\r\n\r\n";
@@ -73,6 +75,23 @@
   return settings;
 }
 
+class NoPeers : public PeerLink {
+ public:
+  void Connect(const VmName&, const std::string&) override {}
+  void Disconnect(const VmName&) override {}
+  void Send(const VmName&, Message) override {}
+};
+
+class NoStore : public ObjectStore {
+ public:
+  void Get(const ResourceKey&, GetDone) override {}
+  void Put(const ResourceKey&, const std::string&, uint64_t, PutDone) override {
+  }
+  void Delete(const ResourceKey&, uint64_t, PutDone) override {}
+  void Watch(const std::vector<std::string>&, uint64_t, WatchDone) override {}
+  void ListVms(ListDone) override {}
+};
+
 }  // namespace
 
 TEST_GROUP(BackEndBytesWithoutEnd) {
@@ -217,3 +236,95 @@
   CHECK(status == StoreStatus::kOk);
   LONGS_EQUAL(1, count);
 }
+
+TEST_GROUP(CallerOutputWithoutEnd) {
+  void setup() override {
+    m_api.SetCore(&m_core);
+    m_api.SetServer(&m_server);
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    EndlessServer no_server(kStorePort, "", "");
+    no_server.RunUntil(&m_loop, [&] {
+      m_server.Flush();
+      return done();
+    });
+  }
+
+  struct Result {
+    std::optional<CallEnd> end;
+    int status = 0;
+    std::string body;
+  };
+
+  // Sends a request for a completion that is not streamed. Returns its id.
+  RequestId Request(Result * result) {
+    ClientRequest request;
+    request.address = {"127.0.0.1", kCallersPort};
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.body = R"({"model":"m","prompt":"x"})";
+    FetchResponse(&m_client, std::move(request),
+                  [result](CallEnd end, int status, std::string body) {
+                    *result = {end, status, std::move(body)};
+                  });
+    const size_t count = m_server.OpenExchangeCount() + 1;
+    RunUntil([&] { return m_server.OpenExchangeCount() == count; });
+    return RequestId(m_same_random.NextId());
+  }
+
+  SystemClock m_clock;
+  Random m_random{5};
+  Random m_same_random{5};  // Foretells the ids of requests.
+  EventLoop m_loop;
+  NoPeers m_peers;
+  NoStore m_store;
+  CallerApi m_api{&m_random};
+  Random m_core_random{6};
+  EntryCore m_core{
+      {VmName("vm"), ZoneName("z"), RegionName("r"), Incarnation(1)},
+      &m_clock,
+      &m_core_random,
+      &m_peers,
+      &m_store,
+      &m_api};
+  HttpServer m_server{
+      &m_loop,
+      {{"127.0.0.1", kCallersPort}, 5000, std::chrono::seconds(10)},
+      &m_api};
+  HttpClient m_client{&m_loop};
+};
+
+TEST(CallerOutputWithoutEnd, TheLargestOutputIsEvictedAndASoundOneStays) {
+  Result large;
+  Result sound;
+  const RequestId large_id = Request(&large);
+  const RequestId sound_id = Request(&sound);
+  m_api.OnTokens(large_id, std::string(3 * kMegabyte, 'l'));
+  m_api.OnTokens(sound_id, "sound");
+  CHECK(m_loop.Buffers().TotalBytes() >= 3 * kMegabyte);
+  m_loop.Buffers().SetLimit(2 * kMegabyte);
+  RunUntil([&] {
+    m_loop.Buffers().Enforce();
+    return large.end.has_value();
+  });
+  CHECK(large.end == CallEnd::kComplete);
+  LONGS_EQUAL(502, large.status);
+  CHECK(m_loop.Buffers().TotalBytes() < kMegabyte);
+  m_api.OnFinished(sound_id, "stop", {});
+  RunUntil([&] { return sound.end.has_value(); });
+  LONGS_EQUAL(200, sound.status);
+  CHECK(sound.body.find("sound") != std::string::npos);
+}
+
+TEST(CallerOutputWithoutEnd, OutputThatIsNotStreamedEndsItsRequest) {
+  Result result;
+  const RequestId id = Request(&result);
+  for (int i = 0; i < 6; ++i) {
+    m_api.OnTokens(id, std::string(kMegabyte, 'x'));
+    CHECK(m_loop.Buffers().TotalBytes() <= 9 * kMegabyte);
+  }
+  RunUntil([&] { return result.end.has_value(); });
+  CHECK(result.end == CallEnd::kBroken);
+  LONGS_EQUAL(0, m_server.OpenExchangeCount());
+}
