--- a/tests/http_test_client_bytes_without_end.cc
+++ b/tests/http_test_client_bytes_without_end.cc
@@ -207,8 +207,7 @@
   loop.Buffers().SetLimit(2 * kMegabyte);
   Result large;
   Result small;
-  for (const auto& [path, result] :
-       {std::pair("/small", &small), std::pair("/large", &large)}) {
+  const auto fetch = [&](const std::string& path, Result* result) {
     ClientRequest request;
     request.address = options.address;
     request.path = path;
@@ -216,7 +215,9 @@
                   [result](CallEnd end, int status, std::string body) {
                     *result = {end, status, std::move(body)};
                   });
-  }
+  };
+  fetch("/small", &small);
+  fetch("/large", &large);
   EndlessServer no_server(kPort, "", "");
   no_server.RunUntil(&loop, [&] {
     loop.Buffers().Enforce();
