--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -148,6 +148,7 @@
   board.codec = &request_codec;
   board.log = &context.log;
   board.retry_budget.SetLimits(settings.retry_limits);
+  if (!settings.IsSeed()) board.retry_budget.DrawReserves(&context.random);
   BufferReporter buffers(&context.loop.Buffers(), &context.log, &board.metrics);
 
   Reservations reservations({context.incarnation, settings.peer_port}, &board,
--- a/burdockhill/src/gateway/settings.cc
+++ b/burdockhill/src/gateway/settings.cc
@@ -1,5 +1,6 @@
 #include "burdockhill/src/gateway/settings.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "burdockhill/src/base/address.h"
@@ -54,6 +55,10 @@
 
 }  // namespace
 
+bool GatewaySettings::IsSeed() const {
+  return std::find(seeds.begin(), seeds.end(), vm.Value()) != seeds.end();
+}
+
 bool AreGatewaySettings(const std::string& text) {
   const auto document = nlohmann::json::parse(text, nullptr, false, true);
   return document.is_object() && document.contains("store");
--- a/burdockhill/src/gateway/settings.h
+++ b/burdockhill/src/gateway/settings.h
@@ -42,6 +42,9 @@
   // Agent only.
   std::string engine;  // Address of the engine on this VM.
 
+  // Whether the others connect to this entry. Few are.
+  bool IsSeed() const;
+
   // What the process may keep of requests, responses and messages. The rest of
   // its memory is for its own state, for copies that are being made, and for
   // buffers of the operating system.
--- a/burdockhill/src/routing/retry_budget.cc
+++ b/burdockhill/src/routing/retry_budget.cc
@@ -1,20 +1,36 @@
 #include "burdockhill/src/routing/retry_budget.h"
 
+#include <algorithm>
+
 namespace burdockhill {
 
 namespace {
 
-void DropBefore(std::deque<TimePoint>* times, TimePoint start) {
-  while (!times->empty() && times->front() < start) times->pop_front();
+// Returns how many were dropped.
+size_t DropBefore(std::deque<TimePoint>* times, TimePoint start) {
+  size_t dropped = 0;
+  for (; !times->empty() && times->front() < start; ++dropped) {
+    times->pop_front();
+  }
+  return dropped;
 }
 
 }  // namespace
 
 RetryBudget::Window& RetryBudget::CurrentWindow(const ServiceName& service,
                                                 TimePoint now) {
-  Window& window = m_windows[service];
-  DropBefore(&window.requests, now - m_limits.window);
-  DropBefore(&window.retries, now - m_limits.window);
+  const auto [found, is_new] = m_windows.try_emplace(service);
+  Window& window = found->second;
+  if (is_new && m_random != nullptr) {
+    window.drawn_share = m_random->UniformDouble();
+  }
+  const TimePoint start = now - m_limits.window;
+  const size_t requests = DropBefore(&window.requests, start);
+  const size_t retries = DropBefore(&window.retries, start);
+  const double unspent = m_limits.ratio * static_cast<double>(requests) -
+                         static_cast<double>(retries);
+  window.earned =
+      std::clamp<double>(window.earned + unspent, 0, m_limits.reserve);
   return window;
 }
 
@@ -23,9 +39,10 @@
 }
 
 bool RetryBudget::HasRoom(const Window& window, int retries) const {
+  const double reserve = std::min<double>(
+      m_limits.reserve, window.drawn_share * m_limits.reserve + window.earned);
   const double allowed =
-      m_limits.ratio * static_cast<double>(window.requests.size()) +
-      m_limits.reserve;
+      m_limits.ratio * static_cast<double>(window.requests.size()) + reserve;
   return static_cast<double>(window.retries.size()) + retries <= allowed;
 }
 
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -82,6 +82,8 @@
               &deployment->m_log, &no_events, &no_events),
         server(&deployment->m_socket_network, &deployment->m_clock, &gateway) {
     board.random = &random;
+    const bool is_seed = index < deployment->m_options.seeds;
+    if (!is_seed) board.retry_budget.DrawReserves(&random);
     board.connections = &pool;
     board.codec = &deployment->m_requests;
     board.log = &deployment->m_log;
--- a/tests/gateway_test_retry_budget.cc
+++ b/tests/gateway_test_retry_budget.cc
@@ -262,6 +262,16 @@
   }
 }
 
+TEST(GatewayRetryBudget, AnEntryIsASeedOnlyIfItIsListed) {
+  GatewaySettings settings;
+  settings.vm = VmName("10.0.0.1");
+  CHECK_FALSE(settings.IsSeed());
+  settings.seeds = {"10.0.0.2", "10.0.0.11"};
+  CHECK_FALSE(settings.IsSeed());
+  settings.seeds.emplace_back("10.0.0.1");
+  CHECK(settings.IsSeed());
+}
+
 TEST(GatewayRetryBudget, OnlyACallWithoutAConnectionIsRepeatedFreely) {
   for (const bool connects : {false, true}) {
     AllowRetries("plain", 0);
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -528,6 +528,49 @@
   LONGS_EQUAL(21, granted);  // 20% of 100, and the reserve of 1.
 }
 
+// The standard deviation of what they send is at most 160 retries.
+TEST(RetryBudget, DrawnReservesOfManyNodesDoNotAddUp) {
+  constexpr int kNodes = 100000;
+  Random random(1);
+  for (const int requests : {1, 3, 7}) {
+    int granted = 0;
+    for (int node = 0; node < kNodes; ++node) {
+      RetryBudget budget;
+      budget.DrawReserves(&random);
+      for (int i = 0; i < requests; ++i) budget.CountRequest(m_service, m_now);
+      while (budget.TrySpend(m_service, m_now)) ++granted;
+    }
+    DOUBLES_EQUAL(0.2 * requests * kNodes, granted, 4 * 160);
+  }
+}
+
+TEST(RetryBudget, ANodeWithFewRequestsEarnsAWholeReserve) {
+  Random random(1);
+  for (int node = 0; node < 1000; ++node) {
+    RetryBudget budget;
+    budget.DrawReserves(&random);
+    for (int i = 0; i < 5; ++i) budget.CountRequest(m_service, m_now);
+    TimePoint later = m_now + seconds(11);
+    CHECK(budget.TrySpend(m_service, later));
+    CHECK_FALSE(budget.TrySpend(m_service, later));
+  }
+}
+
+TEST(RetryBudget, AnEarnedReserveIsSpentOnce) {
+  Random random(1);
+  int granted = 0;
+  for (int node = 0; node < 1000; ++node) {
+    RetryBudget budget;
+    budget.DrawReserves(&random);
+    for (int i = 0; i < 5; ++i) budget.CountRequest(m_service, m_now);
+    for (TimePoint later = m_now + seconds(11); later < m_now + seconds(60);
+         later += seconds(11)) {
+      if (budget.TrySpend(m_service, later)) ++granted;
+    }
+  }
+  LONGS_EQUAL(1000, granted);
+}
+
 TEST(RetryBudget, ForgetsOldRequestsAndRetries) {
   for (int i = 0; i < 100; ++i) m_budget.CountRequest(m_service, m_now);
   while (m_budget.TrySpend(m_service, m_now)) {
