--- a/soak/callers.h
+++ b/soak/callers.h
@@ -41,7 +41,7 @@
   size_t OnResponseBody(http::CallId /*call*/,
                         std::string_view bytes) override {
     body.append(bytes);
-    return body.size();
+    return 0;  // The bounds are those of the daemons, not of this program.
   }
   void OnResponseEnd(http::CallId call) override;
   void OnCallFailed(http::CallId call, http::CallFailure reason) override;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -49,10 +49,13 @@
 // One interval of this many begins or ends a fault, so two in a second.
 constexpr Duration kFaultInterval = std::chrono::milliseconds(10);
 constexpr uint64_t kIntervalsPerFault = 50;
+constexpr size_t kBufferLimit = size_t{1} << 30;
 
 class Soak {
  public:
   int Run() {
+    // The limit of a process is that of the daemons alone.
+    m_loop.Buffers().SetLimit(kBufferLimit);
     const TimePoint start = m_clock.Now();
     Duration fault_time = kStartTime;
     for (Duration elapsed{0}; elapsed < m_environment.load_time;
