--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -33,6 +33,9 @@
 constexpr Duration kKeepInterval = std::chrono::milliseconds(2500);
 constexpr Duration kMaxIdleTime = std::chrono::seconds(12);
 constexpr uint64_t kStopTimeMs = 6500;
+// With class endless: calls that begin when upstreams do.
+constexpr int kBurstCalls = 60;
+constexpr double kSteadyRate = 10;
 
 }  // namespace
 
@@ -124,6 +127,26 @@
   if (m_environment.Plays("idle-limits")) {
     m_idle_callers.SendDue(m_upstreams.IdleLimit());
   }
+  if (m_environment.Plays("endless")) SendBesideEndless(elapsed);
+}
+
+void Callers::SendBesideEndless(Duration elapsed) {
+  const double due =
+      std::chrono::duration<double>(elapsed).count() * kSteadyRate;
+  for (; m_steady_requests < due; ++m_steady_requests) {
+    auto caller = std::make_unique<Caller>(
+        CallKind::kIdempotent, "s" + std::to_string(m_steady_requests),
+        m_environment.clock);
+    caller->entry = m_steady_requests % m_environment.entries;
+    caller->deadline = caller->sent_at + kCallerDeadline;
+    caller->is_steady = true;
+    Send(std::move(caller), "/steady/", "");
+  }
+  if (m_bursts == m_upstreams.EventCounts().endless) return;
+  m_bursts = m_upstreams.EventCounts().endless;
+  for (int i = 0; i < kBurstCalls; ++i) {
+    SendNew(static_cast<CallKind>(i % 4), m_bursts % m_environment.entries, "");
+  }
 }
 
 void Callers::SendNew(CallKind kind, int entry, const std::string& lane) {
@@ -142,14 +165,21 @@
   Send(std::move(caller), kPaths[static_cast<int>(kind)], lane);
 }
 
-void Callers::AskForNewestRoute() {
+void Callers::AskAfterFaults() {
   for (int i = 0; i < m_environment.entries; ++i) {
     auto caller = std::make_unique<Caller>(CallKind::kIdempotent, NextId(""),
                                            m_environment.clock);
     caller->entry = i;
     caller->deadline = caller->sent_at + kCallerDeadline;
-    caller->is_on_newest_route = true;
+    caller->is_after_faults = true;
     Send(std::move(caller), m_upstreams.NewestPath(), "");
+    if (!m_environment.Plays("endless")) continue;
+    caller = std::make_unique<Caller>(CallKind::kStream, NextId(""),
+                                      m_environment.clock);
+    caller->entry = i;
+    caller->deadline = caller->sent_at + kCallerDeadline;
+    caller->is_after_faults = true;
+    Send(std::move(caller), kPaths[static_cast<int>(CallKind::kStream)], "");
   }
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -68,7 +68,8 @@
   // The caller's channel broke; the caller takes the stream up.
   bool is_broken_off = false;
   bool on_kept_connection = false;  // Of IdleCallers.
-  bool is_on_newest_route = false;  // Sent after all faults have ended.
+  bool is_after_faults = false;     // Sent after all faults have ended.
+  bool is_steady = false;  // On the route that always has a sound upstream.
   size_t answer_padding = 0;
   std::string body;
   Duration retry_after{0};
@@ -98,8 +99,9 @@
   void SendDue(Duration elapsed);
   // Sends requests on kept connections of an entry that was asked to stop.
   void OnStopSignal(const Signals::Signal& signal);
-  // Asks each entry for the route of the newest configuration.
-  void AskForNewestRoute();
+  // Asks each entry for the route of the newest configuration, and with class
+  // endless for a stream.
+  void AskAfterFaults();
   void Tick();
 
   // By request id.
@@ -115,6 +117,8 @@
   void Send(std::unique_ptr<Caller> caller, const std::string& path,
             const std::string& lane);
   void SendNew(CallKind kind, int entry, const std::string& lane);
+  // While upstreams send without end.
+  void SendBesideEndless(Duration elapsed);
   std::string NextId(const std::string& lane);
   void PauseReading(http::CallId call);
   void MaybeCancelOne();
@@ -133,6 +137,8 @@
   uint64_t m_kept_requests = 0;
   uint64_t m_due_requests = 0;
   uint64_t m_idle_requests = 0;
+  int m_steady_requests = 0;
+  int m_bursts = 0;
   std::map<std::string, std::unique_ptr<Caller>> m_callers;
   std::vector<const Caller*> m_open_streams;  // That may be taken up.
   Duration m_connections_kept_at{0};
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -40,6 +40,9 @@
 constexpr double kBudgetRatio = 0.2;
 constexpr int kBudgetSlackOfEntry = 5;
 constexpr int kBudgetSlack = 3;
+// The daemons start first.
+constexpr Duration kSteadyDelay = std::chrono::seconds(3);
+constexpr Duration kSteadyWindow = std::chrono::seconds(1);
 
 // Statuses that promise that the request has not run and never will.
 bool IsPromise(int status) {
@@ -50,10 +53,12 @@
 class Checks {
  public:
   Checks(const Environment& environment, const Signals& signals,
-         const Callers& callers, Upstreams* upstreams)
+         const Callers& callers, const DaemonMemory& memory,
+         Upstreams* upstreams)
       : m_environment(environment),
         m_signals(signals),
         m_callers(callers),
+        m_memory(memory),
         m_upstreams(upstreams) {}
 
   // Prints the violations and a summary; returns the number of violations.
@@ -74,6 +79,8 @@
     }
     CheckBudget(/*plain=*/false);
     CheckBudget(/*plain=*/true);
+    CheckMemory();
+    CheckSteadyCallers();
     if (m_upstreams->HeldTokens() > 0 || m_upstreams->HeldHandles() > 0) {
       Report("KV cache memory is still held: " +
              std::to_string(m_upstreams->HeldTokens()) + " tokens, " +
@@ -100,8 +107,10 @@
               << m_upstreams->Statements().size() << " statements, "
               << counts.restores << " restores, " << counts.releases
               << " releases, " << counts.silences << " silences, "
-              << m_upstreams->CutHeadCount() << " cut heads, " << m_take_ups
-              << " take-ups (" << m_taken_up_streams.Text()
+              << counts.endless << " times without end (" << m_steady_seconds
+              << " seconds of steady callers), at most " << m_memory.WorstMb()
+              << " MB, " << m_upstreams->CutHeadCount() << " cut heads, "
+              << m_take_ups << " take-ups (" << m_taken_up_streams.Text()
               << " undisturbed streams went on; " << m_new_streams.Text()
               << " new ones began), " << m_late_answers << " of "
               << m_late_requests << " late requests answered, "
@@ -165,9 +174,11 @@
       CheckPlannedStop(caller);
     }
     if (caller.on_kept_connection) CheckKeptConnection(caller);
-    if (caller.is_on_newest_route && caller.status != http::kOk) {
+    if (caller.is_after_faults && !caller.IsWhole()) {
       Report(caller,
-             "newest configuration is not in force after all faults ended");
+             caller.IsPlain()
+                 ? "newest configuration is not in force after all faults ended"
+                 : "no stream after all faults ended");
     }
     if (caller.kind == CallKind::kResumableStream) CountShares(caller);
   }
@@ -218,9 +229,9 @@
       return;
     }
     // With these faults alone, all engines are sound.
-    const bool engines_are_sound = m_environment.is_calm &&
-                                   !m_environment.Plays("versions") &&
-                                   !m_environment.Plays("heads");
+    const bool engines_are_sound =
+        m_environment.is_calm && !m_environment.Plays("versions") &&
+        !m_environment.Plays("heads") && !m_environment.Plays("endless");
     const bool late_in_stop = m_signals.Got(
         EntryName(caller.entry), "TERM", caller.ended_at - kStopTime,
         caller.ended_at - kStopTimeForAnswers);
@@ -347,6 +358,40 @@
     }
   }
 
+  void CheckMemory() {
+    if (m_memory.MostKb().empty()) Report("MEMORY: no daemon was found");
+    for (const auto& [daemon, kb] : m_memory.MostKb()) {
+      if (kb >> 10 < m_memory.LimitMb()) continue;
+      Report("MEMORY: " + daemon + " had " + std::to_string(kb >> 10) + " MB");
+    }
+  }
+
+  // Each second has an answer, unless all entries were disturbed.
+  void CheckSteadyCallers() {
+    TimePoint last_sent = TimePoint::min();
+    TimePoint from = TimePoint::max();
+    std::vector<TimePoint> answers;
+    for (const auto& [id, caller] : m_callers.All()) {
+      if (!caller->is_steady) continue;
+      from = std::min(from, caller->sent_at + kSteadyDelay);
+      last_sent = std::max(last_sent, caller->sent_at);
+      if (caller->IsWhole()) answers.push_back(caller->ended_at);
+    }
+    for (; from + kSteadyWindow <= last_sent; from += kSteadyWindow) {
+      const TimePoint to = from + kSteadyWindow;
+      bool is_checked = false;
+      for (int i = 0; i < m_environment.entries; ++i) {
+        is_checked = is_checked || !WasDisturbed(EntryName(i), from, to);
+      }
+      if (!is_checked) continue;
+      ++m_steady_seconds;
+      if (std::none_of(answers.begin(), answers.end(),
+                       [&](TimePoint at) { return at >= from && at < to; })) {
+        Report("NEIGHBOURS: no answer of a sound upstream in a second");
+      }
+    }
+  }
+
   // Requests by way of entries that were killed or paused do not count.
 
   void CheckLimit(const Upstreams::Limited& limited) {
@@ -377,6 +422,7 @@
   const Environment& m_environment;
   const Signals& m_signals;
   const Callers& m_callers;
+  const DaemonMemory& m_memory;
   Upstreams* m_upstreams;
   std::set<std::string> m_arrived;  // Requests that upstreams have seen.
   Share m_new_streams;
@@ -389,14 +435,16 @@
   int m_kept_crossings = 0;
   int m_mixed_streams = 0;
   int m_served_count = 0;
+  int m_steady_seconds = 0;  // That were checked.
   int m_violations = 0;
 };
 
 }  // namespace
 
 int CheckResults(const Environment& environment, const Signals& signals,
-                 const Callers& callers, Upstreams* upstreams) {
-  return Checks(environment, signals, callers, upstreams).Run();
+                 const Callers& callers, const DaemonMemory& memory,
+                 Upstreams* upstreams) {
+  return Checks(environment, signals, callers, memory, upstreams).Run();
 }
 
 }  // namespace burdockhill::soak
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -2,6 +2,7 @@
 #define BURDOCKHILL_SOAK_CHECKS_H_
 
 #include "soak/callers.h"
+#include "soak/daemon_memory.h"
 #include "soak/environment.h"
 #include "soak/signals.h"
 #include "soak/upstreams.h"
@@ -11,7 +12,8 @@
 // Checks what callers and upstreams saw in a run that has ended. Prints the
 // violations and a summary, and returns the number of violations.
 int CheckResults(const Environment& environment, const Signals& signals,
-                 const Callers& callers, Upstreams* upstreams);
+                 const Callers& callers, const DaemonMemory& memory,
+                 Upstreams* upstreams);
 
 }  // namespace burdockhill::soak
 
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -21,8 +21,10 @@
   if (m_is_gone) return nullptr;
   const SocketId target = m_sockets->Connect(m_target_address, this);
   if (!target.IsValid()) return nullptr;
-  m_connections.FindOrInsert(id) = {target, false, true, "", false, {}, ""};
-  m_connections.FindOrInsert(target) = {id, true, false, "", false, {}, ""};
+  m_connections.FindOrInsert(id) = {target, false, true,  "", false,
+                                    {},     "",    false, 0};
+  m_connections.FindOrInsert(target) = {id, true, false, "", false,
+                                        {}, "",   false, 0};
   return this;
 }
 
@@ -35,7 +37,10 @@
 
 void FaultProxy::OnBytes(SocketId id, std::string_view bytes) {
   Connection* connection = m_connections.Find(id);
-  if (connection == nullptr) return;
+  if (connection == nullptr || connection->is_endless) return;
+  if (m_endless != nullptr && !connection->to_target) {
+    return StartEndless(id, bytes);
+  }
   const bool dropped =
       m_fault == Fault::kDropAll ||
       (m_fault == Fault::kDropResponses && connection->to_target);
@@ -97,7 +102,10 @@
 
 void FaultProxy::Forward(SocketId id, std::string_view bytes) {
   const Connection* connection = m_connections.Find(id);
-  if (connection == nullptr || connection->drops_all) return;
+  if (connection == nullptr || connection->drops_all ||
+      connection->is_endless) {
+    return;
+  }
   Connection* other = m_connections.Find(connection->other);
   if (other == nullptr) return;
   if (!other->connected) {
@@ -125,6 +133,68 @@
   }
 }
 
+void FaultProxy::SendEndless(const EndlessAnswer& answer, TimePoint until) {
+  EndEndless();
+  NoteFault();
+  m_endless = &answer;
+  m_endless_until = until;
+}
+
+void FaultProxy::EndEndless() {
+  if (m_endless == nullptr) return;
+  NoteFault();
+  m_endless = nullptr;
+  std::vector<SocketId> ids;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.is_endless) ids.push_back(id);
+  }
+  for (const SocketId id : ids) CloseBoth(id, /*reset=*/true);
+}
+
+void FaultProxy::Tick() {
+  if (m_endless == nullptr) return;
+  if (m_clock->Now() >= m_endless_until) return EndEndless();
+  std::vector<SocketId> ids;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.is_endless) ids.push_back(id);
+  }
+  for (const SocketId id : ids) WriteEndless(id);
+}
+
+void FaultProxy::StartEndless(SocketId id, std::string_view request) {
+  constexpr std::string_view kField = "X-Request-Id: ";
+  std::string name;
+  if (const size_t at = request.find(kField); at != request.npos) {
+    const size_t start = at + kField.size();
+    name = request.substr(start, request.find("\r\n", start) - start);
+  }
+  Connection* connection = m_connections.Find(id);
+  connection->is_endless = true;
+  Connection* other = m_connections.Find(connection->other);
+  if (other != nullptr) other->is_endless = true;
+  std::string head = m_endless->head;
+  if (const size_t at = head.find(kIdMark); at != std::string::npos) {
+    head.replace(at, 1, name);
+  }
+  m_sockets->Write(id, head);
+  WriteEndless(id);
+}
+
+void FaultProxy::WriteEndless(SocketId id) {
+  constexpr int kMaxParts = 16;  // So that other connections have their turn.
+  for (int i = 0; i < kMaxParts; ++i) {
+    Connection* connection = m_connections.Find(id);
+    if (m_endless == nullptr || connection == nullptr ||
+        !connection->is_endless || connection->to_target ||
+        connection->endless_bytes >= m_endless->max_bytes ||
+        m_sockets->PendingBytes(id) > 0) {
+      return;
+    }
+    connection->endless_bytes += m_endless->part.size();
+    m_sockets->Write(id, m_endless->part);
+  }
+}
+
 void FaultProxy::CloseAll(bool reset) {
   NoteFault();
   std::vector<SocketId> ids;
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -7,11 +7,12 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/transport/sockets.h"
 #include "emulation/event_queue.h"
+#include "soak/endless.h"
 
 namespace burdockhill::soak {
 
-// TCP proxy in front of an upstream that injects faults: dropped bytes, delays
-// and connection resets.
+// TCP proxy in front of an upstream that injects faults: dropped bytes, delays,
+// answers without end and connection resets.
 class FaultProxy : private SocketAcceptor, private SocketEvents {
  public:
   enum class Fault {
@@ -53,6 +54,11 @@
   void SetRepeats(bool repeats) { m_repeats = repeats; }
   // Closes or resets all open connections.
   void CloseAll(bool reset);
+  // Requests do not reach the target until then, and get this answer.
+  void SendEndless(const EndlessAnswer& answer, TimePoint until);
+  void EndEndless();
+  // Call once per event-loop iteration.
+  void Tick();
 
  private:
   struct Connection {
@@ -65,11 +71,14 @@
     bool drops_all = false;
     TimePoint forward_at{};     // When the last delayed bytes are due.
     std::string last_answer{};  // Of the target, for SetRepeats.
+    bool is_endless = false;    // Gets the endless answer, and nothing else.
+    size_t endless_bytes = 0;   // Sent of its parts.
   };
 
   SocketEvents* OnAccepted(SocketId id) override;
   void OnConnected(SocketId id) override;
   void OnBytes(SocketId id, std::string_view bytes) override;
+  void OnOutputDrained(SocketId id) override { WriteEndless(id); }
   void OnEndOfInput(SocketId id) override;
   void OnFailed(SocketId id) override;
   void NoteFault() { m_fault_at = m_clock->Now(); }
@@ -81,6 +90,8 @@
   // Writes bytes received on `id` to the other side.
   void Forward(SocketId id, std::string_view bytes);
   void CloseBoth(SocketId id, bool reset);
+  void StartEndless(SocketId id, std::string_view request);
+  void WriteEndless(SocketId id);
 
   Sockets* m_sockets;
   emulation::EventQueue* m_queue;
@@ -96,6 +107,8 @@
   double m_cut_position = 0;
   bool m_cut_resets = false;
   int m_cut_count = 0;
+  const EndlessAnswer* m_endless = nullptr;
+  TimePoint m_endless_until{};
   Table<SocketId, Connection> m_connections;
 };
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -11,6 +11,7 @@
 #include "burdockhill/src/transport/tcp_sockets.h"
 #include "soak/callers.h"
 #include "soak/checks.h"
+#include "soak/daemon_memory.h"
 #include "soak/environment.h"
 #include "soak/signals.h"
 #include "soak/upstreams.h"
@@ -23,6 +24,7 @@
           "Second number of the loopback addresses, 127.NET.x.y; runs with "
           "different ones do not disturb each other.");
 ABSL_FLAG(double, rate, 12, "Requests per second.");
+ABSL_FLAG(int, memory_mb, 110, "Memory that a daemon may use.");
 ABSL_FLAG(std::string, classes, "",
           "What the run plays besides, separated by spaces; see soak/run.");
 ABSL_FLAG(bool, calm, false,
@@ -50,6 +52,8 @@
 constexpr Duration kFaultInterval = std::chrono::milliseconds(10);
 constexpr uint64_t kIntervalsPerFault = 50;
 constexpr size_t kBufferLimit = size_t{1} << 30;
+// Of the limit of a daemon. The upstreams stop to send then, for the machine.
+constexpr int64_t kMaxTimesMemory = 4;
 
 class Soak {
  public:
@@ -72,9 +76,10 @@
     m_upstreams.EndFaults();
     const TimePoint cleared_at = m_clock.Now();
     while (m_clock.Now() - cleared_at < kSettleDelay) RunIteration();
-    m_callers.AskForNewestRoute();
+    m_callers.AskAfterFaults();
     while (m_clock.Now() - cleared_at < kCheckDelay) RunIteration();
-    return CheckResults(m_environment, m_signals, m_callers, &m_upstreams);
+    return CheckResults(m_environment, m_signals, m_callers, m_memory,
+                        &m_upstreams);
   }
 
  private:
@@ -105,6 +110,10 @@
     }
     m_upstreams.Tick();
     m_callers.Tick();
+    m_memory.Tick();
+    if (m_memory.WorstMb() > kMaxTimesMemory * m_memory.LimitMb()) {
+      m_upstreams.EndEndless();
+    }
     m_sockets.CheckTimeouts(m_system_clock.Now());
   }
 
@@ -120,6 +129,7 @@
   Environment m_environment = ReadEnvironment();
   Random m_random{m_environment.seed + 2};
   Signals m_signals{absl::GetFlag(FLAGS_signals), &m_clock};
+  DaemonMemory m_memory{&m_clock, absl::GetFlag(FLAGS_memory_mb)};
   Upstreams m_upstreams{m_environment};
   Callers m_callers{m_environment, m_upstreams};
 };
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -1,6 +1,7 @@
 #include "soak/upstreams.h"
 
 #include <algorithm>
+#include <iostream>
 #include <iterator>
 #include <utility>
 
@@ -24,6 +25,9 @@
 constexpr Duration kReplaceTime = std::chrono::milliseconds(400);
 constexpr Duration kMinSilence = std::chrono::milliseconds(700);
 constexpr uint64_t kMaxMoreSilenceMs = 600;
+constexpr Duration kMinEndless = std::chrono::milliseconds(1000);
+constexpr uint64_t kMaxMoreEndlessMs = 1500;
+constexpr uint64_t kEndlessPerStore = 5;
 constexpr Duration kMoreSilence = std::chrono::milliseconds(1500);
 constexpr uint64_t kMaxHeadsToCut = 4;
 constexpr int kMoreAttempts = 4;
@@ -40,11 +44,28 @@
 Upstreams::Upstreams(const Environment& environment)
     : m_environment(environment),
       m_random(environment.seed),
-      m_store(environment.sockets, environment.clock,
-              environment.Host(0, 1) + ":7900") {
+      m_store(
+          environment.sockets, environment.clock,
+          environment.Host(0, environment.Plays("endless") ? 2 : 1) + ":7900") {
+  if (environment.Plays("endless")) {
+    m_store_proxy = std::make_unique<FaultProxy>(
+        environment.sockets, environment.queue, environment.clock,
+        environment.Host(0, 1) + ":7900", environment.Host(0, 2) + ":7900");
+  }
   ChangeConfiguration();
   for (int i = 0; i < environment.engines; ++i) AddEngine(i);
   for (int i = 0; i < kPlainServices; ++i) AddPlain(i);
+  if (environment.Plays("endless")) {
+    const std::string address = PlainHost(kPlainServices) + ":8080";
+    m_steady_service = std::make_unique<PlainRunnerFake>(
+        address, environment.sockets, environment.queue, environment.clock,
+        &m_counts);
+    Register("steady", {{"service", "steady"},
+                        {"address", address},
+                        {"state", "ready"},
+                        {"version", "v1"},
+                        {"born", kFirstBorn}});
+  }
   m_store.SaveCopy();
 }
 
@@ -55,6 +76,9 @@
                       {"maxConns", 300},
                       {"engine", {{"slots", 64}, {"kvTokens", 100000}}}});
   services.push_back({{"name", "plain"}, {"maxConns", 300}});
+  if (m_environment.Plays("endless")) {
+    services.push_back({{"name", "steady"}, {"maxConns", 300}});
+  }
   json routes = json::array();
   const auto add = [&](const std::string& path, const char* kind,
                        bool resumable, const char* service) {
@@ -75,6 +99,7 @@
   add("/stream/", "streaming", false, "llm");
   add("/resume/", "streaming", true, "llm");
   add(NewestPath(), "safe", false, "plain");
+  if (m_environment.Plays("endless")) add("/steady/", "safe", false, "steady");
   m_configuration = {
       {"version", m_version}, {"routes", routes}, {"services", services}};
   if (m_environment.Plays("idle-limits")) {
@@ -248,8 +273,44 @@
   m_store.Put("config", "main", m_configuration);
 }
 
+void Upstreams::BeginEndless() {
+  const auto& answers = EndlessAnswers();
+  const Duration duration =
+      kMinEndless +
+      std::chrono::milliseconds(m_random.UniformBelow(kMaxMoreEndlessMs));
+  m_endless_until = m_environment.clock->Now() + duration;
+  std::cout << "ENDLESS for " << duration.count() / 1000 << " ms:";
+  const auto begin = [&](FaultProxy* proxy, const std::string& name) {
+    const EndlessAnswer& answer =
+        answers[m_random.UniformBelow(answers.size())];
+    proxy->SendEndless(answer, m_endless_until);
+    std::cout << " " << name << " " << answer.name;
+  };
+  if (m_random.UniformBelow(kEndlessPerStore) == 0) {
+    begin(m_store_proxy.get(), "store");
+  } else {
+    const size_t first = m_random.UniformBelow(m_proxies.size());
+    for (size_t i = 0; i < m_proxies.size(); ++i) {
+      const bool is_engine = i < m_engines.size();
+      if (i != first && m_random.UniformBelow(2) != 0) continue;
+      begin(m_proxies[i].get(),
+            is_engine ? "e" + std::to_string(i)
+                      : "p" + std::to_string(i - m_engines.size()));
+    }
+  }
+  std::cout << "\n";
+  ++m_event_counts.endless;
+}
+
+void Upstreams::EndEndless() {
+  for (const auto& proxy : m_proxies) proxy->EndEndless();
+  if (m_store_proxy != nullptr) m_store_proxy->EndEndless();
+}
+
 void Upstreams::Tick() {
   m_store.Tick();
+  for (const auto& proxy : m_proxies) proxy->Tick();
+  if (m_store_proxy != nullptr) m_store_proxy->Tick();
   if (m_write_again_at == TimePoint() ||
       m_environment.clock->Now() < m_write_again_at) {
     return;
@@ -342,6 +403,11 @@
 }
 
 void Upstreams::InjectFault() {
+  if (m_environment.Plays("endless") &&
+      m_environment.clock->Now() >= m_endless_until &&
+      m_random.UniformBelow(2) == 0) {
+    return BeginEndless();
+  }
   if (InjectFaultOfClass() || m_environment.is_calm) return;
   FaultProxy& proxy = *m_proxies[m_random.UniformBelow(m_proxies.size())];
   switch (m_random.UniformBelow(22)) {
@@ -404,6 +470,7 @@
 
 void Upstreams::EndFaults() {
   ClearFaults();
+  EndEndless();
   for (const auto& proxy : m_proxies) proxy->CutHeads(0, 0, false);
   LiftLimits();
   WriteAll();
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -35,6 +35,7 @@
     int releases = 0;
     int silences = 0;
     int restores = 0;
+    int endless = 0;
   };
 
   explicit Upstreams(const Environment& environment);
@@ -42,6 +43,8 @@
   // Begins or ends a random fault.
   void InjectFault();
   void Tick();
+  // Ends all answers without end.
+  void EndEndless();
   // Ends all faults and has everything in force written once more.
   void EndFaults();
 
@@ -88,6 +91,8 @@
   std::string EngineHost(int i) const { return m_environment.Host(1, 1 + i); }
   std::string PlainHost(int i) const { return m_environment.Host(3, 1 + i); }
   bool InjectFaultOfClass();
+  // Has some upstreams, or the store, send without end.
+  void BeginEndless();
   void Silence(FaultProxy* proxy, TimePoint until);
   // Replaces an engine by a process of another software version.
   void Release();
@@ -104,6 +109,7 @@
   const Environment& m_environment;
   Random m_random;
   Store m_store;
+  std::unique_ptr<FaultProxy> m_store_proxy;
   emulation::KvHandles m_handles;
   emulation::RunnerCounters m_counts;
   uint64_t m_version = 0;
@@ -120,6 +126,9 @@
   std::vector<std::unique_ptr<PlainRunnerFake>> m_plain_services;
   // Those of the engines come first.
   std::vector<std::unique_ptr<FaultProxy>> m_proxies;
+  // Of the route that always has a sound upstream.
+  std::unique_ptr<PlainRunnerFake> m_steady_service;
+  TimePoint m_endless_until{};
   Counts m_event_counts;
 };
 
