--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iostream>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace burdockhill::soak {
@@ -29,6 +30,7 @@
 constexpr uint64_t kMaxMoreEndlessMs = 1500;
 constexpr uint64_t kEndlessPerStore = 5;
 constexpr Duration kMoreSilence = std::chrono::milliseconds(1500);
+constexpr Duration kLostAnswersTime = std::chrono::milliseconds(5000);
 constexpr uint64_t kMaxHeadsToCut = 4;
 constexpr int kMoreAttempts = 4;
 constexpr int64_t kFirstBorn = 1000;
@@ -361,7 +363,8 @@
   RegisterPlain(kPlainServices - 1, "ready");
 }
 
-// With the budget, of half of the other upstreams too, and for longer.
+// With the budget, of half of the other upstreams too, and for longer; retries
+// at plain services are many.
 void Upstreams::Silence(FaultProxy* proxy, TimePoint until) {
   proxy->SilenceUntil(until);
   if (!m_environment.Plays("budget")) return;
@@ -370,6 +373,14 @@
       other->SilenceUntil(until + kMoreSilence);
     }
   }
+  // The plain services run each try for a while, and its answer is lost.
+  for (size_t i = m_engines.size(); i < m_proxies.size(); ++i) {
+    FaultProxy* plain = m_proxies[i].get();
+    plain->CutHeads(std::numeric_limits<int>::max(), /*position=*/0.5,
+                    /*reset=*/true);
+    m_environment.queue->Schedule(kLostAnswersTime,
+                                  [plain] { plain->CutHeads(0, 0, false); });
+  }
 }
 
 // Returns false if the run plays no such fault, or it is another one's turn.
