--- a/burdockhill/src/gateway/settings.h
+++ b/burdockhill/src/gateway/settings.h
@@ -51,7 +51,7 @@
   size_t MaxBufferedBytes() const { return memory / kBufferDivisor; }
 
  private:
-  static constexpr size_t kBufferDivisor = 3;
+  static constexpr size_t kBufferDivisor = 4;
 };
 
 // Whether the text is in the form of GatewaySettings rather than Settings.
--- a/burdockhill/src/transport/vhost_owner.h
+++ b/burdockhill/src/transport/vhost_owner.h
@@ -21,17 +21,17 @@
   static Owner* FindOwner(lws* wsi) {
     lws_vhost* vhost = lws_get_vhost(wsi);
     if (vhost == nullptr) return nullptr;
-    void* user = lws_vhost_user(vhost);
-    return LiveOwners().contains(user) ? static_cast<Owner*>(user) : nullptr;
+    auto* owner = static_cast<Owner*>(lws_vhost_user(vhost));
+    return LiveOwners().contains(owner) ? owner : nullptr;
   }
 
  protected:
-  VhostOwner() { LiveOwners().insert(static_cast<Owner*>(this)); }
-  ~VhostOwner() { LiveOwners().erase(static_cast<Owner*>(this)); }
+  VhostOwner() { LiveOwners().insert(this); }
+  ~VhostOwner() { LiveOwners().erase(this); }
 
  private:
-  static std::unordered_set<void*>& LiveOwners() {
-    static thread_local std::unordered_set<void*> owners;
+  static std::unordered_set<const VhostOwner*>& LiveOwners() {
+    static thread_local std::unordered_set<const VhostOwner*> owners;
     return owners;
   }
 };
