--- a/burdockhill/src/base/buffer_budget.cc
+++ b/burdockhill/src/base/buffer_budget.cc
@@ -1,5 +1,6 @@
 #include "burdockhill/src/base/buffer_budget.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -12,11 +13,11 @@
 }
 
 void BufferBudget::Enforce() {
-  while (m_total > m_limit) {
+  while (m_evictable > MaxEvictableBytes()) {
     Buffer* victim = FindVictim();
     if (victim == nullptr) return;
     // The owner may take a moment to end what the buffer belongs to.
-    victim->is_evictable = false;
+    SetEvictable(victim, false);
     BufferOwner* owner = victim->owner;
     const BufferKey key = victim->key;
     ReportOverflow({victim->kind, victim->source, victim->bytes, m_limit,
@@ -25,6 +26,11 @@
   }
 }
 
+size_t BufferBudget::MaxEvictableBytes() const {
+  const size_t fixed = std::min(m_total - m_evictable, m_limit);
+  return std::max(m_limit - fixed, m_limit / kMinEvictableDivisor);
+}
+
 BufferBudget::Buffer* BufferBudget::FindVictim() {
   struct Source {
     size_t bytes = 0;
@@ -50,11 +56,17 @@
 
 void BufferBudget::SetBytes(Buffer* buffer, size_t bytes) {
   m_total += bytes - buffer->bytes;
+  if (buffer->is_evictable) m_evictable += bytes - buffer->bytes;
   m_bytes_by_kind.at(static_cast<size_t>(buffer->kind)) +=
       bytes - buffer->bytes;
   buffer->bytes = bytes;
 }
 
+void BufferBudget::SetEvictable(Buffer* buffer, bool is_evictable) {
+  if (std::exchange(buffer->is_evictable, is_evictable) == is_evictable) return;
+  m_evictable += is_evictable ? buffer->bytes : 0 - buffer->bytes;
+}
+
 void BufferCharge::Open(BufferBudget* budget, BufferKind kind,
                         std::string source, BufferOwner* owner, BufferKey key) {
   Close();
@@ -78,7 +90,7 @@
 
 void BufferCharge::SetEvictable(bool is_evictable) {
   if (m_budget == nullptr) return;
-  m_budget->m_buffers.Find(m_id)->is_evictable = is_evictable;
+  m_budget->SetEvictable(m_budget->m_buffers.Find(m_id), is_evictable);
 }
 
 size_t BufferCharge::Bytes() const {
--- a/burdockhill/src/base/buffer_budget.h
+++ b/burdockhill/src/base/buffer_budget.h
@@ -90,7 +90,13 @@
 
   static constexpr size_t kDefaultLimit = size_t{32} << 20;
 
+  // Buffers that cannot be evicted leave at least this part of the limit to the
+  // others, since evicting those would not help.
+  static constexpr size_t kMinEvictableDivisor = 2;
+
   void SetBytes(Buffer* buffer, size_t bytes);
+  void SetEvictable(Buffer* buffer, bool is_evictable);
+  size_t MaxEvictableBytes() const;
   // The largest evictable buffer of the source whose evictable buffers hold
   // most, or nullptr.
   Buffer* FindVictim();
@@ -99,6 +105,7 @@
   BufferObserver* m_observer = nullptr;
   uint64_t m_last_id = 0;
   size_t m_total = 0;
+  size_t m_evictable = 0;  // Part of m_total.
   std::array<size_t, kBufferKindCount> m_bytes_by_kind{};
   Table<BufferId, Buffer> m_buffers;
 };
--- a/burdockhill/src/transport/tcp_sockets.cc
+++ b/burdockhill/src/transport/tcp_sockets.cc
@@ -33,10 +33,10 @@
 // that one which sends without end leaves turns to the others.
 constexpr size_t kReadBufferBytes = size_t{32} << 10;
 // Of the operating system, for each connection.
-constexpr int kReceiveBufferBytes = 64 << 10;
+constexpr int kReceiveBufferBytes = 128 << 10;
 constexpr int kSendBufferBytes = 128 << 10;
 // Memory of an output queue that is kept once the queue is empty.
-constexpr size_t kIdleOutputBytes = size_t{64} << 10;
+constexpr size_t kIdleOutputBytes = size_t{4} << 10;
 // Input that a graceful close discards.
 constexpr size_t kMaxDiscardedBytes = size_t{16} << 20;
 // An outgoing connection fails when sent data is not acknowledged within this
