--- a/burdockhill/src/http/message.h
+++ b/burdockhill/src/http/message.h
@@ -66,6 +66,7 @@
   Headers headers;
   bool keep_alive = true;
   bool chunked = false;
+  bool allows_interim = true;  // Requests only: of HTTP/1.1.
   std::optional<uint64_t> content_length;
 };
 
--- a/burdockhill/src/http/message_reader.cc
+++ b/burdockhill/src/http/message_reader.cc
@@ -13,8 +13,8 @@
 constexpr int kFirstFinalStatus = 200;
 // Each field takes memory beside its text.
 constexpr size_t kMaxFields = 512;
-// Bytes that frame one chunk: its size, and two line ends.
-constexpr size_t kChunkFramingBytes = 20;
+// Bytes that frame one chunk: its size, two line ends, and a short extension.
+constexpr size_t kChunkFramingBytes = 128;
 // A header of short fields has more bytes of framing than of text.
 constexpr size_t kFramingPerHeaderByte = 4;
 
@@ -141,6 +141,7 @@
     head.status = parser->status_code;
     head.keep_alive = http_should_keep_alive(parser) != 0;
     head.chunked = (parser->flags & F_CHUNKED) != 0;
+    head.allows_interim = parser->http_major >= 1 && parser->http_minor >= 1;
     if (const std::string* length = head.headers.Find("Content-Length")) {
       head.content_length = static_cast<uint64_t>(*ParseNumber(*length));
     }
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Reading from a connection stops when more pipelined bytes are buffered.
-constexpr size_t kMaxPipelinedBytes = size_t{64} << 10;
+constexpr size_t kMaxPipelinedBytes = size_t{4} << 10;
 // The caller counts its idle time only from when it has read the response, and
 // its next request is under way for a time.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
@@ -19,10 +19,15 @@
 constexpr Duration kUnreadResponseTimeout = std::chrono::seconds(60);
 // Callers skip it, whether they have asked for it or not.
 constexpr std::string_view kInterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-// A caller that has gone is noticed within this time and a round trip.
+// Between the first two probes of a caller; each interval is twice as long as
+// the one before. Some callers give up after a few interim responses.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
+constexpr int kMaxProbes = 4;
+// A caller that has closed its sending side is taken for gone if nothing can be
+// sent to it for so long inside a response.
+constexpr Duration kMaxSilence = std::chrono::milliseconds(300);
 // Share of what the process may buffer that bodies of requests may take.
-constexpr size_t kBodyShareDivisor = 4;
+constexpr size_t kBodyShareDivisor = 2;
 // A response body that is longer is not copied to be sent with its head.
 constexpr size_t kMaxCopiedBodyBytes = size_t{64} << 10;
 
@@ -34,9 +39,10 @@
 SocketEvents* Server::OnAccepted(SocketId id) {
   Connection& connection =
       m_connections.FindOrInsert(id, m_limits.max_header_bytes);
+  // All callers are one source, since a request that is received is refused
+  // without harm.
   connection.request_charge.Open(&m_sockets->Buffers(), BufferKind::kRequest,
-                                 "caller " + std::to_string(id.Value()), this,
-                                 BufferKey(id.Value()));
+                                 "callers", this, BufferKey(id.Value()));
   StartWait(&connection);
   return this;
 }
@@ -85,6 +91,7 @@
   }
   if (!reader.IsComplete()) return;
   connection->pipelined.assign(bytes.substr(consumed));
+  SetBodyBytes(connection, connection->body_bytes);
   DispatchRequest(id, connection);
 }
 
@@ -126,6 +133,7 @@
   Connection* connection = m_connections.Find(id);
   if (connection == nullptr) return;
   connection->input_ended = true;
+  connection->last_output_at = m_clock->Now();
   if (connection->exchange.IsValid()) {
     ProbeCaller(id, connection, m_clock->Now());
   } else {
@@ -135,13 +143,26 @@
 }
 
 void Server::ProbeCaller(SocketId id, Connection* connection, TimePoint now) {
-  // An interim response must not stand inside a response.
-  if (connection->is_streaming || m_sockets->PendingBytes(id) > 0) return;
-  if (now - connection->probed_at < kProbeInterval) return;
-  connection->probed_at = now;
+  // An interim response must not stand inside a response, and HTTP/1.0 has
+  // none.
+  if (connection->is_streaming || m_sockets->PendingBytes(id) > 0 ||
+      !connection->reader.MessageHead().allows_interim) {
+    return;
+  }
+  const bool due = now >= connection->next_probe_at;
+  if (!due || connection->probes >= kMaxProbes) return;
+  connection->next_probe_at = now + kProbeInterval * (1 << connection->probes);
+  ++connection->probes;
   m_sockets->Write(id, kInterimResponse);
 }
 
+bool Server::IsProbablyGone(SocketId id, const Connection& connection,
+                            TimePoint now) const {
+  return connection.input_ended && connection.is_streaming &&
+         m_sockets->PendingBytes(id) == 0 &&
+         now - connection.last_output_at > kMaxSilence;
+}
+
 void Server::OnFailed(SocketId id) {
   const Connection* connection = m_connections.Find(id);
   if (connection == nullptr) return;
@@ -222,21 +243,27 @@
   FinishExchange(id, keep_alive);
 }
 
-void Server::StartStream(ExchangeId id, const Head& head) {
+void Server::StartStream(ExchangeId id, const Head& head,
+                         std::optional<size_t> body_size) {
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   const bool keep_alive = KeepsAlive(socket, *connection);
   connection->is_streaming = true;
+  connection->is_chunked = !body_size.has_value();
   connection->said_close = !keep_alive;
+  connection->last_output_at = m_clock->Now();
   m_sockets->Write(socket,
-                   FormatResponse(head, std::nullopt,
+                   FormatResponse(head, body_size,
                                   AnnounceKeepAlive(connection, keep_alive)));
 }
 
 void Server::WriteStream(ExchangeId id, std::string_view bytes) {
   SocketId socket;
-  if (FindConnection(id, &socket) == nullptr || bytes.empty()) return;
+  Connection* connection = FindConnection(id, &socket);
+  if (connection == nullptr || bytes.empty()) return;
+  connection->last_output_at = m_clock->Now();
+  if (!connection->is_chunked) return m_sockets->Write(socket, bytes);
   m_sockets->Write(socket, FormatChunk(bytes));
 }
 
@@ -244,7 +271,7 @@
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
-  m_sockets->Write(socket, kLastChunk);
+  if (connection->is_chunked) m_sockets->Write(socket, kLastChunk);
   // The caller may already have sent its next request if it was told that the
   // connection stays open.
   FinishExchange(id, !connection->said_close);
@@ -352,9 +379,13 @@
 void Server::CheckTimeouts(TimePoint now) {
   std::vector<SocketId> idle;
   std::vector<SocketId> slow;
+  std::vector<ExchangeId> gone;
   for (auto& [id, connection] : m_connections) {
     if (connection.exchange.IsValid()) {
       if (connection.input_ended) ProbeCaller(id, &connection, now);
+      if (IsProbablyGone(id, connection, now)) {
+        gone.push_back(connection.exchange);
+      }
       continue;
     }
     const size_t unsent = m_sockets->PendingBytes(id);
@@ -373,6 +404,7 @@
     if (!MayReadLate(id, now)) Reject(id, kRequestTimeout);
   }
   for (const SocketId id : idle) CloseUnlessInputArrived(id);
+  for (const ExchangeId id : gone) m_events->OnCallerDisconnected(id);
 }
 
 }  // namespace burdockhill::http
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKHILL_SRC_HTTP_SERVER_H_
 #define BURDOCKHILL_SRC_HTTP_SERVER_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,9 +20,8 @@
 struct ServerLimits {
   size_t max_header_bytes = size_t{16} << 10;
   size_t max_body_bytes = size_t{4} << 20;
-  // Sum over all requests that are being received or answered. At most a
-  // quarter of what the process may buffer, since a body is copied while it is
-  // sent to an upstream.
+  // Sum over all requests that are being received or answered. At most half of
+  // what the process may buffer.
   size_t max_total_body_bytes = size_t{24} << 20;
   // From the first byte of a request to the end of its header.
   Duration header_timeout = std::chrono::seconds(3);
@@ -85,8 +85,10 @@
   // has started as a stream, since the caller would find the head inside the
   // body.
   void Respond(ExchangeId id, const Head& head, std::string_view body);
-  // Starts a chunked response.
-  void StartStream(ExchangeId id, const Head& head);
+  // Starts a response whose body follows in parts: in chunks, or with this
+  // Content-Length, which the parts must add up to before EndStream.
+  void StartStream(ExchangeId id, const Head& head,
+                   std::optional<size_t> body_size = std::nullopt);
   void WriteStream(ExchangeId id, std::string_view bytes);
   void EndStream(ExchangeId id);
   // Resets the connection, so that the caller cannot take a partial response
@@ -119,10 +121,13 @@
     size_t unsent_bytes = 0;  // At the last check of the time limits.
     size_t body_bytes = 0;    // Share of m_total_body_bytes.
     BufferCharge request_charge;
-    bool input_ended = false;   // The caller has closed its sending side.
-    TimePoint probed_at{};      // When it was last sent an interim response.
-    bool is_streaming = false;  // The response has started as a stream.
-    bool said_close = false;    // The response says that it is the last one.
+    bool input_ended = false;  // The caller has closed its sending side.
+    int probes = 0;            // Interim responses sent since then.
+    TimePoint next_probe_at{};
+    TimePoint last_output_at{};  // Of the current response.
+    bool is_chunked = false;     // So is the body of the response.
+    bool is_streaming = false;   // The response has started as a stream.
+    bool said_close = false;     // The response says that it is the last one.
     explicit Connection(size_t max_header)
         : reader(MessageKind::kRequest, max_header) {}
   };
@@ -139,6 +144,10 @@
   // Sends an interim response to a caller that has closed its sending side. One
   // that has closed its connection resets it then.
   void ProbeCaller(SocketId id, Connection* connection, TimePoint now);
+  // Whether the caller of a response that has begun, which has closed its
+  // sending side, is taken to have closed its connection.
+  bool IsProbablyGone(SocketId id, const Connection& connection,
+                      TimePoint now) const;
   // Input is awaited from now on.
   void StartWait(Connection* connection) const;
   // The limits that hold for the current wait or request.
