--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -49,7 +49,7 @@
 size_t EngineAgent::EngineCall::OnResponseBody(http::CallId /*id*/,
                                                std::string_view bytes) {
   body.append(bytes);
-  return body.capacity();
+  return body.size();
 }
 
 void EngineAgent::EngineCall::OnResponseEnd(http::CallId /*id*/) {
--- a/burdockhill/src/gateway/object_feed.cc
+++ b/burdockhill/src/gateway/object_feed.cc
@@ -15,7 +15,7 @@
 // The store's pages are about 1 MB.
 constexpr size_t kMaxPageBytes = size_t{4} << 20;
 // Of all pages of a list.
-constexpr size_t kMaxListBytes = size_t{16} << 20;
+constexpr size_t kMaxListBytes = size_t{8} << 20;
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1200);
 constexpr int kMaxBackoffDoublings = 3;
@@ -87,7 +87,7 @@
 
 size_t ObjectFeed::OnResponseBody(http::CallId /*id*/, std::string_view bytes) {
   m_body.append(bytes);
-  return m_body.capacity();
+  return m_body.size();
 }
 
 void ObjectFeed::OnCallFailed(http::CallId /*id*/, http::CallFailure failure) {
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -20,6 +20,7 @@
 constexpr int kResponseTimeoutInTargets = 3;
 constexpr int kFirstServerErrorStatus = 500;
 constexpr int kFirstRedirectStatus = 300;
+constexpr int kNoContentStatus = 204;
 // Calls that must not be repeated do not use keep-alive connections that were
 // idle for longer: the upstream may have closed them unnoticed, and then it is
 // unknown whether the call ran.
@@ -296,7 +297,17 @@
   if (request == nullptr) return 0;
   if (request->is_forwarding) return ForwardBody(request, bytes);
   request->response_body.append(bytes);
-  return request->response_body.capacity();
+  return request->response_body.size();
+}
+
+size_t PlainRequests::MaxOutputBytes(const Request& request) const {
+  const BufferBudget& buffers = m_board->connections->Buffers();
+  // A long response is taken in time also if its caller reads slowly, as long
+  // as there is memory.
+  const bool is_stream = IsStream(request.routed.route.kind);
+  const bool is_short_of_memory = buffers.TotalBytes() > buffers.Limit() / 2;
+  return is_stream || is_short_of_memory ? kHighWatermarkBytes
+                                         : kMaxResponseBytes;
 }
 
 size_t PlainRequests::ForwardBody(Request* request, std::string_view bytes) {
@@ -313,7 +324,7 @@
   } else {
     m_board->server->WriteStream(exchange, bytes);
   }
-  if (m_board->server->PendingBytes(exchange) > kHighWatermarkBytes) {
+  if (m_board->server->PendingBytes(exchange) > MaxOutputBytes(*request)) {
     m_board->connections->SetReading(request->call, false);
   }
   return kept;
@@ -353,7 +364,7 @@
   request->failed_response_charge.Open(
       &m_board->connections->Buffers(), BufferKind::kAnswer,
       routed.last_upstream.Value(), this, BufferKey(routed.exchange.Value()));
-  request->failed_response_charge.SetBytes(request->response_body.capacity());
+  request->failed_response_charge.SetBytes(request->response_body.size());
 }
 
 void PlainRequests::OnBufferEvicted(BufferKey key) {
@@ -464,6 +475,7 @@
 bool PlainRequests::IsLong(const Request& request) {
   const http::Head& head = request.response_head;
   return head.status >= http::kOk && head.status < kFirstRedirectStatus &&
+         head.status != kNoContentStatus &&
          request.routed.request.head.method != "HEAD" &&
          head.content_length.value_or(0) > kLongResponseBytes;
 }
@@ -472,7 +484,9 @@
   request->is_forwarding = true;
   http::Head head = request->response_head;
   http::RemoveConnectionHeaders(&head.headers);
-  m_board->server->StartStream(request->routed.exchange, head);
+  std::optional<size_t> body_size;
+  if (!IsStream(request->routed.route.kind)) body_size = head.content_length;
+  m_board->server->StartStream(request->routed.exchange, head, body_size);
 }
 
 bool PlainRequests::IsStreamComplete(const Request& request) {
@@ -481,6 +495,10 @@
 }
 
 void PlainRequests::EndForwarding(Request* request) {
+  if (!m_board->poison_detector.IsEmpty()) {
+    m_board->poison_detector.RecordCompleteResponse(
+        request->routed.Fingerprint());
+  }
   RecordResponseTime(request->routed);
   if (request->events.has_value()) {
     m_board->server->WriteStream(request->routed.exchange,
@@ -508,6 +526,8 @@
       request->routed.route.kind == RequestKind::kNonIdempotent &&
       m_board->connections->WasSent(request->call);
   if (must_complete) {
+    // The rest of a long response is read for nobody.
+    m_board->connections->SetReading(request->call, true);
     request->caller_is_gone = true;
     return true;
   }
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -142,6 +142,8 @@
   static bool IsLong(const Request& request);
   // Sends the head to the caller. The body follows as it arrives.
   void StartForwarding(Request* request);
+  // Bytes to the caller that may be queued before reading pauses.
+  size_t MaxOutputBytes(const Request& request) const;
   // Forwards body bytes. Returns the bytes of an event that is not complete.
   size_t ForwardBody(Request* request, std::string_view bytes);
   // Keeps the response until another call has ended, or none can be made.
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -82,7 +82,7 @@
   }
   if (!is_silent && !stream->is_forwarding) {
     stream->response_body.append(bytes);
-    return stream->response_body.capacity();
+    return stream->response_body.size();
   }
   const int64_t earlier_events = stream->events.Count();
   const std::string complete_events = stream->events.Append(bytes);
--- a/tests/gateway_test_bytes_without_end.cc
+++ b/tests/gateway_test_bytes_without_end.cc
@@ -137,6 +137,13 @@
                    "Content-Length: 1048576\r\n\r\n");
   m_sockets.SetPendingBytes(m_caller, kMegabyte);
   m_sockets.Inject(upstream, std::string(kPart, 'x'));
+  CHECK(m_sockets.GetConnection(upstream).reading);
+  // Short of memory.
+  BufferCharge others;
+  others.Open(&m_sockets.Buffers(), BufferKind::kOutput, "others", nullptr,
+              BufferKey(1));
+  others.SetBytes(m_sockets.Buffers().Limit() / 2 + 1);
+  m_sockets.Inject(upstream, std::string(kPart, 'x'));
   CHECK(!m_sockets.GetConnection(upstream).reading);
   m_sockets.NotifyOutputDrained(m_caller);
   CHECK(m_sockets.GetConnection(upstream).reading);
