--- a/tests/gateway_test_bytes_without_end.cc
+++ b/tests/gateway_test_bytes_without_end.cc
@@ -34,8 +34,8 @@
 // callers' requests, because each of many answers is within its own bound.
 TEST(UpstreamsWithoutEnd, FortyAnswersWithoutEndStayWithinTheBudget) {
   m_sockets.Buffers().SetLimit(32 * kMegabyte);
-  std::vector<SocketId> callers;
-  for (int i = 0; i < 40; ++i) callers.push_back(Post("/safe/x"));
+  std::vector<SocketId> callers(40);
+  for (SocketId& caller : callers) caller = Post("/safe/x");
   size_t most = 0;
   for (size_t sent = 0; sent < 4 * kMegabyte; sent += kPart) {
     for (const SocketId id : m_sockets.AllOutgoing()) {
