--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -275,6 +275,7 @@
         self.prefill_s = 0.08
         self.ready_beats = None
         self.answer_hook = None     # Async; may send an answer in its own way.
+        self.streams = False        # A plain runner that answers with streams.
         self.orders = 0
         self.next_handle = random.getrandbits(40)
         self.server = None
@@ -388,6 +389,8 @@
         if get(fields, "X-Expect-Instance", self.name) != self.name:
             return await self.reply(writer, 421, echo + [("X-Not-Executed", "1"),
                                                          ("X-Instance-Id", self.name)])
+        if self.streams:
+            return await self.run_stream(writer, rid, 0, fields, echo)
         if self.stage is None:
             return await self.run_plain(writer, rid, target, echo, body)
         tokens = int((get(fields, "X-Token-Counts") or "1000,80").split(",")[0])
@@ -582,7 +585,8 @@
             "limits": limits or {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                                  "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
 
-    async def start(self, plain=3, plain_slots=6, memory_mb=110, routes=None, services=None):
+    async def start(self, plain=3, plain_slots=6, memory_mb=110, routes=None, services=None,
+                    streaming=0):
         index = 1
         for i in range(len(self.entry_ips)):
             await self.add_entry(i, index, memory_mb)
@@ -598,6 +602,11 @@
             self.runners[name] = Runner(self.record, self.store, self.handles, name, "booking",
                                         "127.%d.4.%d" % (self.net, i + 1), 8200,
                                         slots=plain_slots)
+        for i in range(streaming):
+            name = "s%d" % (i + 1)
+            self.runners[name] = Runner(self.record, self.store, self.handles, name, "reader",
+                                        "127.%d.5.%d" % (self.net, i + 1), 8300)
+            self.runners[name].streams = True
         self.write_manifest(routes or ROUTES, services or SERVICES)
         for runner in self.runners.values():
             await runner.start()
