--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -45,20 +45,22 @@
 
 
 def free_net():
-    """Second number of loopback addresses of which all needed ports are free."""
+    """Second number of loopback addresses of which all needed ports are free, and
+    a socket that keeps other cases from taking the same ones."""
     numbers = list(range(60, 250))
     random.shuffle(numbers)
     for n in numbers:
-        ok = True
-        for ip, port in (("127.%d.1.1" % n, PEER_PORT), ("127.%d.1.1" % n, 7000),
-                         ("127.%d.0.1" % n, 7900), ("127.%d.9.1" % n, PEER_PORT)):
-            with socket.socket() as s:
-                try:
+        lock = socket.socket()
+        try:
+            lock.bind(("127.%d.0.250" % n, 7899))
+            lock.listen(1)
+            for ip, port in (("127.%d.1.1" % n, PEER_PORT), ("127.%d.1.1" % n, 7000),
+                             ("127.%d.0.1" % n, 7900), ("127.%d.9.1" % n, PEER_PORT)):
+                with socket.socket() as s:
                     s.bind((ip, port))
-                except OSError:
-                    ok = False
-        if ok:
-            return n
+            return n, lock
+        except OSError:
+            lock.close()
     raise CannotRun("no free loopback addresses")
 
 
@@ -534,7 +536,7 @@
     def __init__(self, record, entries, engines, bounds=None):
         """entries: number; engines: list of (name, stage) or (name, stage, service)."""
         self.record = record
-        self.net = free_net()
+        self.net, self.lock = free_net()
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(record)
         self.handles = Handles()
@@ -626,6 +628,7 @@
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 await daemon.process.wait()
+        self.lock.close()
         if not os.environ.get("KEEP_LOGS"):
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
