--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -453,24 +453,30 @@
 # ---------------------------------------------------------------- paths
 
 class PeerPath:
-    """The path to the peer port of a machine. When it is cut, its connections
-    are reset and new ones refused."""
+    """The path to the peer port of a machine. While a machine is cut off, its
+    connections to and from other machines are reset, and new ones too."""
 
-    def __init__(self, vm, target):
-        self.vm, self.target = vm, target
-        self.writers = set()
+    def __init__(self, deployment, vm, target):
+        self.deployment, self.vm, self.target = deployment, vm, target
+        self.flows = []     # [machine that has dialled, writers]
 
     async def listen(self):
         self.server = await asyncio.start_server(self.serve, self.vm, PEER_PORT,
                                                  reuse_address=True)
 
+    def is_cut(self, dialler):
+        return bool({self.vm, dialler} & self.deployment.cut_off)
+
     async def serve(self, reader, writer):
+        dialler = self.deployment.find_dialler(writer.get_extra_info("peername")[1])
+        if self.is_cut(dialler):
+            return abort(writer)
         try:
             back_reader, back_writer = await asyncio.open_connection(self.target, PEER_PORT)
         except OSError:
             return abort(writer)
-        both = (writer, back_writer)
-        self.writers.update(both)
+        flow = [dialler, (writer, back_writer)]
+        self.flows.append(flow)
 
         async def pump(source, sink):
             try:
@@ -482,16 +488,17 @@
                     await sink.drain()
             except (ConnectionError, OSError):
                 pass
-            for w in both:
+            for w in flow[1]:
                 abort(w)
 
         await asyncio.gather(pump(reader, back_writer), pump(back_reader, writer))
-        self.writers.difference_update(both)
+        self.flows.remove(flow)
 
-    def cut(self):
-        self.server.close()
-        for writer in list(self.writers):
-            abort(writer)
+    def apply_cuts(self):
+        for dialler, writers in self.flows:
+            if self.is_cut(dialler):
+                for w in writers:
+                    abort(w)
 
 
 # ---------------------------------------------------------------- daemons
@@ -546,13 +553,40 @@
         self.paths = []
         self.engines = engines
         self.version = 0
+        self.cut_off = set()        # Machines that no other machine reaches.
+
+    def find_dialler(self, port):
+        """The machine whose process has a connection from this local port."""
+        inode = None
+        with open("/proc/net/tcp") as table:
+            for line in table:
+                fields = line.split()
+                if fields[1].endswith(":%04X" % port) and fields[2].endswith(":%04X" % PEER_PORT):
+                    inode = fields[9]
+        for daemon in self.daemons.values():
+            folder = "/proc/%d/fd" % daemon.process.pid
+            try:
+                links = [os.readlink(os.path.join(folder, fd)) for fd in os.listdir(folder)]
+            except OSError:
+                continue
+            if "socket:[%s]" % inode in links:
+                return daemon.settings["vm"]
+        return None
+
+    def cut(self, vm):
+        self.cut_off.add(vm)
+        for path in self.paths:
+            path.apply_cuts()
+
+    def heal(self, vm):
+        self.cut_off.discard(vm)
 
     def store_ip(self, vm_index):
         return "127.%d.0.%d" % (self.net, vm_index)
 
     async def start_path(self, vm, index):
         target = "127.%d.9.%d" % (self.net, index)
-        path = PeerPath(vm, target)
+        path = PeerPath(self, vm, target)
         await path.listen()
         self.paths.append(path)
         return target
