--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -508,6 +508,7 @@
         self.deployment, self.name, self.settings = deployment, name, settings
         self.process = None
         self.expected_end = False
+        self.started = []           # All processes so far.
 
     async def start(self):
         path = os.path.join(self.deployment.folder, self.name + ".json")
@@ -519,8 +520,9 @@
         program = os.environ.get("BURDOCKHILLD", "target/burdockhilld")
         self.process = await asyncio.create_subprocess_exec(
             program, cwd=REPO, env=env, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+        self.started.append(self.process)
         self.expected_end = False
-        self.deployment.record.write("%s starts" % self.name)
+        self.deployment.record.write("%s starts, process %d" % (self.name, self.process.pid))
 
     def signal(self, number):
         self.deployment.record.write("%s gets %s" % (self.name, signal.Signals(number).name))
@@ -657,11 +659,14 @@
         await asyncio.sleep(1.5)
 
     async def stop(self):
-        for daemon in self.daemons.values():
-            if daemon.process is not None and daemon.process.returncode is None:
-                daemon.process.send_signal(signal.SIGCONT)
-                daemon.process.kill()
-                await daemon.process.wait()
+        started = [p for daemon in self.daemons.values() for p in daemon.started]
+        for process in started:
+            if process.returncode is None:
+                process.kill()      # Ends a stopped process, too.
+        for process in started:
+            await process.wait()
+        left = [p.pid for p in started if os.path.exists("/proc/%d" % p.pid)]
+        self.record.write("%d processes started, left: %s" % (len(started), left))
         self.lock.close()
         if not os.environ.get("KEEP_LOGS"):
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -839,8 +844,15 @@
         sys.exit(CANNOT_RUN)
 
     async def run():
+        # A script that is stopped ends its processes, too.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         try:
             return await asyncio.wait_for(case(record, trouble), 110)
+        except asyncio.CancelledError:
+            record.write("cannot run: stopped")
+            return CANNOT_RUN
         except asyncio.TimeoutError:
             record.write("cannot run: out of time")
             return CANNOT_RUN
