--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -566,6 +566,8 @@
                 if fields[1].endswith(":%04X" % port) and fields[2].endswith(":%04X" % PEER_PORT):
                     inode = fields[9]
         for daemon in self.daemons.values():
+            if daemon.process is None:
+                continue    # Not started yet.
             folder = "/proc/%d/fd" % daemon.process.pid
             try:
                 links = [os.readlink(os.path.join(folder, fd)) for fd in os.listdir(folder)]
