--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -469,6 +469,10 @@
 
     async def serve(self, reader, writer):
         dialler = self.deployment.find_dialler(writer.get_extra_info("peername")[1])
+        if dialler is None:
+            # Its process has only just started. It could not be cut off; it dials again.
+            self.deployment.record.write("a dialler of %s is not known yet" % self.vm)
+            return abort(writer)
         if self.is_cut(dialler):
             return abort(writer)
         try:
