Streams outlive their entry and all agents: entries hold origins, too

One entry and the agents of all engines are killed at the same moment, and every stream of that entry that a caller takes up again elsewhere is refused with 503, while new streams begin. 0 of 24 go on.

Cause: which version began a stream was known to its entry and to three agents, nobody else. Only its entry told other agents when one ended, and processes that started anew were told nothing.

Ruled out: copies at entries that the search does not ask (there were none); agents that get their copies too late (streams are also lost if the agents end in turn, a second apart: nobody tells those that come back).

Why it works: two agents and two entries hold each stream, neighbors in the order in different zones. Entries keep up the copies at agents, agents those at entries, for streams of others as well, so that no process and no kind of process is needed for a stream to be found. An agent that has just started says that it is not sure yet, and a search waits for it for 1.2 s at most.

Processes of the former software: new fields of known messages only. Agents of before forward nothing, entries of before get no copies.

Tests that counted three agents count two; four copies in all are one more than before. The limits of times in them are as they were; where a test starts agents, it lets them run for 2 s first.

--- a/burdockhill/routing.h
+++ b/burdockhill/routing.h
@@ -8,7 +8,9 @@
 #include "burdockhill/src/routing/engine_admission.h"     // IWYU pragma: export
 #include "burdockhill/src/routing/engine_outlook.h"       // IWYU pragma: export
 #include "burdockhill/src/routing/engine_placement.h"     // IWYU pragma: export
+#include "burdockhill/src/routing/holder_order.h"         // IWYU pragma: export
 #include "burdockhill/src/routing/kv_cache_ledger.h"      // IWYU pragma: export
+#include "burdockhill/src/routing/origin_replicas.h"      // IWYU pragma: export
 #include "burdockhill/src/routing/output_length_model.h"  // IWYU pragma: export
 #include "burdockhill/src/routing/permit_schedule.h"      // IWYU pragma: export
 #include "burdockhill/src/routing/placement_costs.h"      // IWYU pragma: export
--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -53,7 +53,7 @@
 PeerTransport::Options GatewayPeerOptions(const GatewaySettings& settings,
                                           Incarnation incarnation) {
   PeerTransport::Options options = PeerOptions(settings, incarnation);
-  options.self.keeps_origins = settings.role == Role::kAgent;
+  options.self.keeps_origins = true;
   options.self.grants_leases = settings.role == Role::kEntry;
   return options;
 }
@@ -164,7 +164,7 @@
                             &context.peers);
   UpstreamPermits permits({settings.vm, settings.seeds, settings.peer_port},
                           &board, &context.peers);
-  AgentStreamOrigins origins(&board, &context.peers);
+  ReplicatedStreamOrigins origins(&board, &context.peers);
   PlainRequests plain(&board, &permits, &origins);
   StreamCalls streams(&board, &reservations, &permits, &origins);
   reservations.SetEvents(&streams);
@@ -201,7 +201,7 @@
                   &context.clock, &context.log, &configuration_updater,
                   &upstream_updater);
   PeerEventDispatcher peer_dispatcher({&reservations, &origins},
-                                      {&relay, &permits, &admission});
+                                      {&relay, &permits, &admission, &origins});
   context.peers.SetEvents(&peer_dispatcher);
   CachingConfigurationEvents caching_configurations(&configuration_updater,
                                                     &relay);
--- a/burdockhill/src/gateway/configuration_freshness.h
+++ b/burdockhill/src/gateway/configuration_freshness.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKHILL_SRC_GATEWAY_CONFIGURATION_FRESHNESS_H_
 #define BURDOCKHILL_SRC_GATEWAY_CONFIGURATION_FRESHNESS_H_
 
+#include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/object_feed.h"
 #include "burdockhill/src/gateway/peer_relay.h"
 
--- a/burdockhill/src/gateway/engine_agent.cc
+++ b/burdockhill/src/gateway/engine_agent.cc
@@ -33,8 +33,6 @@
 // Time between two computations of that wait.
 constexpr Duration kWaitInterval = std::chrono::milliseconds(50);
 
-constexpr Duration kOriginsLogInterval = std::chrono::minutes(1);
-
 int64_t PerThousandSeconds(double per_second) {
   return static_cast<int64_t>(1000 * per_second);
 }
@@ -111,19 +109,8 @@
   PollEngine(now);
   BalanceRoles(now);
   SendDecisions(now);
+  m_origins.Tick();
   ReportLoad(now);
-  ExpireOrigins(now);
-}
-
-void EngineAgent::ExpireOrigins(TimePoint now) {
-  m_origins.Expire(now);
-  if (now < m_next_origins_log_at) return;
-  m_next_origins_log_at = now + kOriginsLogInterval;
-  if (m_origins.Size() == m_logged_origins) return;
-  m_logged_origins = m_origins.Size();
-  m_log->Write("stream_origins",
-               {{"kept", static_cast<int64_t>(m_origins.Size())},
-                {"evicted", static_cast<int64_t>(m_origins.EvictedCount())}});
 }
 
 void EngineAgent::ExpireCall(EngineCall* call, TimePoint now) {
@@ -346,6 +333,7 @@
   m_last_reported_rates = rates;
   m_last_reported_wait = m_decode_wait;
   for (const VmName& entry : m_entries) SendLoadReport(entry);
+  m_origins.SendCopies();
 }
 
 void EngineAgent::SendLoadReport(const VmName& entry) {
@@ -372,12 +360,14 @@
 
 void EngineAgent::OnPeerUp(const Hello& peer) {
   m_entries.insert(peer.vm);
+  m_origins.OnEntryUp(peer);
   m_log->Write("entry_up", {{"entry", peer.vm.Value()}});
   SendLoadReport(peer.vm);
 }
 
 void EngineAgent::OnPeerDown(const VmName& vm) {
   m_entries.erase(vm);
+  m_origins.OnEntryDown(vm);
   m_pool_rates.erase(vm);
   m_decode_queue.WithdrawAll(vm);
   m_prefill_queue.WithdrawAll(vm);
@@ -412,14 +402,10 @@
     m_prefill_admission.Release(cancel->attempt, now);
     m_local_prefill_admission.Release(cancel->attempt, now);
   } else if (const auto* origin = std::get_if<StreamOrigin>(&message)) {
-    m_origins.Record({origin->service, origin->stream}, origin->version,
-                     origin->keep, now);
+    m_origins.OnOrigin(*origin);
     return;
   } else if (const auto* query = std::get_if<StreamOriginQuery>(&message)) {
-    const auto known = m_origins.Find({query->service, query->stream}, now);
-    m_peers->Send(from, StreamOriginAnswer{query->id, known.has_value()
-                                                          ? known->version
-                                                          : SoftwareVersion()});
+    m_origins.OnQuery(from, *query);
     return;
   } else if (const auto* rates = std::get_if<PoolRates>(&message)) {
     m_pool_rates[from] = *rates;
--- a/burdockhill/src/gateway/engine_agent.h
+++ b/burdockhill/src/gateway/engine_agent.h
@@ -8,6 +8,7 @@
 
 #include "burdockhill/src/base/event_log.h"
 #include "burdockhill/src/gateway/codecs.h"
+#include "burdockhill/src/gateway/origin_keeper.h"
 #include "burdockhill/src/http/connection_pool.h"
 #include "burdockhill/src/peer/peer_link.h"
 #include "burdockhill/src/routing/engine_admission.h"
@@ -15,7 +16,6 @@
 #include "burdockhill/src/routing/pool_balance.h"
 #include "burdockhill/src/routing/reservation_queue.h"
 #include "burdockhill/src/routing/service_rate.h"
-#include "burdockhill/src/routing/stream_origin_memory.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
 namespace burdockhill {
@@ -26,7 +26,7 @@
 // here and then call the engine directly.
 //
 // It also remembers for the entries, which may end, which versions of upstreams
-// began streams, its own engine's and others'.
+// began streams, see OriginKeeper.
 class EngineAgent : public PeerEvents {
  public:
   struct Options {
@@ -70,7 +70,6 @@
   void ApplyReport(const EngineReport& report, TimePoint now);
   void BalanceRoles(TimePoint now);
   void SendDecisions(TimePoint now);
-  void ExpireOrigins(TimePoint now);
   void SendQueueDecisions(ReservationQueue* queue, EngineAdmission* admission,
                           TimePoint now);
   // The capacity for computing prompts in the engine's present role, or nullptr
@@ -132,9 +131,7 @@
   std::set<VmName> m_entries;                // Connected ones.
   std::map<VmName, PoolRates> m_pool_rates;  // By the entry that told them.
   OutputRateEstimator m_output_rate;
-  StreamOriginMemory m_origins;
-  TimePoint m_next_origins_log_at{};
-  size_t m_logged_origins = 0;
+  OriginKeeper m_origins{m_peers, m_clock, m_log};
 };
 
 }  // namespace burdockhill
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -32,7 +32,8 @@
   Incarnation incarnation;
   std::string nonce;  // Random bytes; makes each session key unique.
   // The sender keeps what StreamOrigin tells. Processes that do not know that
-  // message close the connection on which it arrives.
+  // message close the connection on which it arrives. Entries that know it, but
+  // do not say so, ignore it.
   bool keeps_origins = false;
   // The same of TeamLeaseRequest and its answers.
   bool grants_leases = false;
@@ -306,26 +307,33 @@
   uint32_t entries = 0;  // That the coordinator knows.
 };
 
-// Entry to agent: an upstream of this version has written the first event of a
-// stream, see StreamKey. The agent keeps it for a time.
+// An upstream of this version has written the first event of a stream, see
+// StreamKey. An entry tells its agents, they tell other entries, and each of
+// them keeps it for a time.
 struct StreamOrigin {
   ServiceName service;
   RequestId stream;
   SoftwareVersion version;
   Duration keep{0};
+  // To an agent: which of the stream's holders it is, the first one is 1. It
+  // tells the entry at the same position. Zero if it tells none.
+  uint8_t holder = 0;
 };
 
-// Entry to agent: asks which version began a stream.
+// Entry to agent or entry: asks which version began a stream.
 struct StreamOriginQuery {
   uint64_t id = 0;  // Of the search, unique at its sender.
   ServiceName service;
   RequestId stream;
 };
 
-// Agent to entry: the answer to a StreamOriginQuery.
+// The answer to a StreamOriginQuery.
 struct StreamOriginAnswer {
   uint64_t id = 0;
   SoftwareVersion version;  // Empty if unknown.
+  // If positive, another answer follows within this time: the sender has just
+  // started and gets its copies from those that hold them.
+  Duration wait{0};
 };
 
 // Entry to the coordinator of a team: asks for a part of the team's limit.
--- a/burdockhill/src/routing/stream_origin_memory.cc
+++ b/burdockhill/src/routing/stream_origin_memory.cc
@@ -6,6 +6,19 @@
 
 namespace burdockhill {
 
+namespace {
+
+// The times of two holders differ by the transit of their messages. Only longer
+// extensions are told on.
+constexpr Duration kMinExtension = std::chrono::seconds(1);
+
+StreamOriginMemory::RecordResult ResultOf(bool changed) {
+  return changed ? StreamOriginMemory::RecordResult::kChanged
+                 : StreamOriginMemory::RecordResult::kKnown;
+}
+
+}  // namespace
+
 uint64_t HashStream(const StreamKey& stream) {
   const std::string& service = stream.service.Value();
   return XXH64(service.data(), service.size(), stream.attempt.Value());
@@ -15,13 +28,13 @@
   return {HashStream(stream), stream.attempt};
 }
 
-bool StreamOriginMemory::Record(const StreamKey& stream,
-                                const SoftwareVersion& version, Duration keep,
-                                TimePoint now) {
+StreamOriginMemory::RecordResult StreamOriginMemory::Record(
+    const StreamKey& stream, const SoftwareVersion& version, Duration keep,
+    TimePoint now) {
   if (!stream.IsValid() || !version.IsValid() || keep <= Duration(0) ||
       stream.service.Value().size() > kMaxOriginNameBytes ||
       version.Value().size() > kMaxOriginNameBytes) {
-    return false;
+    return RecordResult::kInvalid;
   }
   Expire(now);
   const Id id = IdOf(stream);
@@ -29,9 +42,14 @@
   const auto [found, is_new] =
       m_origins.try_emplace(id, Origin{version, until});
   Origin& origin = found->second;
+  bool changed = is_new;
   if (!is_new) {
-    if (origin.version != version) origin.version = SoftwareVersion();
-    if (until <= origin.until) return true;
+    if (origin.version.IsValid() && origin.version != version) {
+      origin.version = SoftwareVersion();
+      changed = true;
+    }
+    if (until <= origin.until) return ResultOf(changed);
+    changed = changed || until - origin.until > kMinExtension;
     m_by_end.erase({origin.until, id});
     origin.until = until;
   }
@@ -41,7 +59,7 @@
     m_by_end.erase(m_by_end.begin());
     ++m_evicted_count;
   }
-  return true;
+  return ResultOf(changed);
 }
 
 std::optional<StreamOriginMemory::Origin> StreamOriginMemory::Find(
@@ -58,6 +76,13 @@
   return m_origins.contains(IdOf(stream));
 }
 
+std::optional<TimePoint> StreamOriginMemory::Until(
+    const StreamKey& stream) const {
+  const auto found = m_origins.find(IdOf(stream));
+  if (found == m_origins.end()) return std::nullopt;
+  return found->second.until;
+}
+
 void StreamOriginMemory::Expire(TimePoint now) {
   while (!m_by_end.empty() && m_by_end.begin()->first <= now) {
     m_origins.erase(m_by_end.begin()->second);
--- a/burdockhill/src/routing/stream_origin_memory.h
+++ b/burdockhill/src/routing/stream_origin_memory.h
@@ -41,17 +41,24 @@
     TimePoint until{};
   };
 
+  enum class RecordResult {
+    kInvalid,  // And thus ignored.
+    kKnown,    // Nothing that other holders would have to be told.
+    kChanged,  // New, to be kept for longer, or recorded with a second version.
+  };
+
   explicit StreamOriginMemory(size_t max_streams = kMaxStreamOrigins)
       : m_max_streams(max_streams) {}
 
   // Keeps the version for this time; never shortens the time of an earlier
   // record. If there are too many streams, those that end first are dropped.
-  // Returns false if the record is not valid and thus ignored.
-  bool Record(const StreamKey& stream, const SoftwareVersion& version,
-              Duration keep, TimePoint now);
+  RecordResult Record(const StreamKey& stream, const SoftwareVersion& version,
+                      Duration keep, TimePoint now);
   std::optional<Origin> Find(const StreamKey& stream, TimePoint now) const;
   // Whether the stream was recorded, also with two versions.
   bool Contains(const StreamKey& stream) const;
+  // Until when the stream is kept, also if it was recorded with two versions.
+  std::optional<TimePoint> Until(const StreamKey& stream) const;
   // Drops the streams whose time has passed.
   void Expire(TimePoint now);
 
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -114,9 +114,10 @@
             CreatePermitAnswer(b, m.id, m.granted, m.wait.count(), m.entries));
   }
   void operator()(const burdockhill::StreamOrigin& m) {
-    SetBody(Body::StreamOrigin,
-            CreateStreamOrigin(b, CreateText(b, m.service), m.stream.Value(),
-                               CreateText(b, m.version), m.keep.count()));
+    SetBody(
+        Body::StreamOrigin,
+        CreateStreamOrigin(b, CreateText(b, m.service), m.stream.Value(),
+                           CreateText(b, m.version), m.keep.count(), m.holder));
   }
   void operator()(const burdockhill::StreamOriginQuery& m) {
     SetBody(Body::StreamOriginQuery,
@@ -125,7 +126,8 @@
   }
   void operator()(const burdockhill::StreamOriginAnswer& m) {
     SetBody(Body::StreamOriginAnswer,
-            CreateStreamOriginAnswer(b, m.id, CreateText(b, m.version)));
+            CreateStreamOriginAnswer(b, m.id, CreateText(b, m.version),
+                                     m.wait.count()));
   }
   void operator()(const burdockhill::TeamLeaseRequest& m) {
     SetBody(Body::TeamLeaseRequest,
@@ -383,9 +385,10 @@
 }
 
 std::optional<Message> Decode(const StreamOrigin& m) {
-  return burdockhill::StreamOrigin{
-      ServiceName(ReadText(m.service())), RequestId(m.stream()),
-      SoftwareVersion(ReadText(m.version())), Duration(m.keep_us())};
+  return burdockhill::StreamOrigin{ServiceName(ReadText(m.service())),
+                                   RequestId(m.stream()),
+                                   SoftwareVersion(ReadText(m.version())),
+                                   Duration(m.keep_us()), m.holder()};
 }
 
 std::optional<Message> Decode(const StreamOriginQuery& m) {
@@ -395,7 +398,7 @@
 
 std::optional<Message> Decode(const StreamOriginAnswer& m) {
   return burdockhill::StreamOriginAnswer{
-      m.id(), SoftwareVersion(ReadText(m.version()))};
+      m.id(), SoftwareVersion(ReadText(m.version())), Duration(m.wait_us())};
 }
 
 std::optional<Message> Decode(const TeamLeaseRequest& m) {
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -26,6 +26,11 @@
   return "10.0.2." + std::to_string(index + 1) + ":80";
 }
 
+// Processes are spread over availability zones in turn.
+ZoneName ZoneOf(int index, int zones) {
+  return ZoneName("z" + std::string(static_cast<size_t>(index % zones), '+'));
+}
+
 std::string RunnerHost(int index) {
   return "10.0.1." + std::to_string(index + 1);
 }
@@ -67,7 +72,7 @@
 struct GatewayDeployment::Entry {
   Entry(GatewayDeployment* deployment, int index,
         const RoutingConfiguration& routes)
-      : link(deployment, MakeHello(index)),
+      : link(deployment, MakeHello(index, deployment->m_options.zones)),
         random(deployment->m_options.seed + static_cast<uint64_t>(index)),
         pool(&deployment->m_socket_network, &deployment->m_clock),
         board(MakeBoard(&deployment->m_clock)),
@@ -106,9 +111,11 @@
     return hosts;
   }
 
-  static Hello MakeHello(int index) {
+  static Hello MakeHello(int index, int zones) {
     Hello hello;
     hello.vm = EntryVm(index);
+    hello.zone = ZoneOf(index, zones);
+    hello.keeps_origins = true;
     return hello;
   }
 
@@ -138,11 +145,12 @@
   http::ConnectionPool pool;
   EntryBoard board;
   Reservations reservations;
-  AgentStreamOrigins origins;
+  ReplicatedStreamOrigins origins;
   UpstreamPermits permits;
   platform::PlatformObjectCodec objects;
   PeerRelay relay;
-  PeerEventDispatcher dispatcher{{&reservations, &origins}, {&relay, &permits}};
+  PeerEventDispatcher dispatcher{{&reservations, &origins},
+                                 {&relay, &permits, &origins}};
   PlainRequests plain{&board, &permits, &origins};
   StreamCalls streams{&board, &reservations, &permits, &origins};
   Gateway gateway{&board, &plain, &streams};
@@ -294,18 +302,15 @@
     upstream.name = UpstreamName("runner-" + std::to_string(i));
     upstream.service = ServiceName(kService);
     upstream.address = runner.address;
-    upstream.zone = ZoneName("z");
+    upstream.zone = ZoneOf(i, options.zones);
     upstream.version = SoftwareVersion("v1");
     upstream.role = runner.role;
     upstream.slots = kSlots;
     upstream.revision = 1;
     upstreams.push_back(upstream);
   }
-  for (int i = 0; i < runners; ++i) {
-    m_agents.push_back(std::make_unique<Agent>(
-        this, RunnerHost(i), RunnerHost(i) + ":80", upstreams));
-    m_peers[VmName(RunnerHost(i))] = &m_agents.back()->agent;
-  }
+  m_agents.resize(static_cast<size_t>(runners));
+  for (int i = 0; i < runners; ++i) StartAgent(i);
   for (int i = 0; i < options.plain_upstreams; ++i) {
     m_plain.push_back(std::make_unique<PlainRunnerFake>(
         PlainAddress(i), &m_socket_network, &m_queue, &m_clock, &m_counts));
@@ -332,11 +337,12 @@
 void GatewayDeployment::StartEntry(int index) {
   auto entry = std::make_unique<Entry>(this, index, m_routes);
   m_peers[EntryVm(index)] = entry->Events();
+  m_hellos[EntryVm(index)] = Entry::MakeHello(index, m_options.zones);
   entry->board.upstreams.ApplyList(m_registrations, 1, m_clock.Now());
   m_entries.at(static_cast<size_t>(index)) = std::move(entry);
 }
 
-AgentStreamOrigins& GatewayDeployment::Origins(int entry) {
+ReplicatedStreamOrigins& GatewayDeployment::Origins(int entry) {
   return m_entries.at(static_cast<size_t>(entry))->origins;
 }
 
@@ -345,18 +351,49 @@
   StartEntry(EntryCount() - 1);
 }
 
-void GatewayDeployment::RestartEntry(int index) {
+void GatewayDeployment::KillEntry(int index) {
   const VmName vm = EntryVm(index);
-  m_peers.erase(vm);
   m_socket_network.KillListeningProcess(EntryAddress(index));
   m_ended_entries.push_back(
       std::move(m_entries.at(static_cast<size_t>(index))));
-  for (const auto& [other, events] : m_peers) events->OnPeerDown(vm);
+  Disconnect(vm);
+}
+
+void GatewayDeployment::RestartEntry(int index) {
+  KillEntry(index);
   StartEntry(index);
+  Redial(EntryVm(index));
+}
+
+void GatewayDeployment::KillAgent(int index) {
+  m_ended_agents.push_back(std::move(m_agents.at(static_cast<size_t>(index))));
+  Disconnect(VmName(RunnerHost(index)));
+}
+
+void GatewayDeployment::RestartAgent(int index) {
+  KillAgent(index);
+  StartAgent(index);
+  Redial(VmName(RunnerHost(index)));
+}
+
+void GatewayDeployment::StartAgent(int index) {
+  const std::string host = RunnerHost(index);
+  std::unique_ptr<Agent>& agent = m_agents.at(static_cast<size_t>(index));
+  agent = std::make_unique<Agent>(this, host, host + ":80", m_registrations);
+  m_peers[VmName(host)] = &agent->agent;
+  m_hellos[VmName(host)] = Agent::MakeHello(host);
+}
+
+void GatewayDeployment::Disconnect(const VmName& vm) {
+  m_peers.erase(vm);
+  for (const auto& [other, events] : m_peers) events->OnPeerDown(vm);
+}
+
+void GatewayDeployment::Redial(const VmName& vm) {
   for (const VmName& other : m_dialled_by[vm]) {
-    Hello hello;
-    hello.vm = other;
-    m_queue.Schedule(kReconnectDelay, [this, hello, vm] { Dial(hello, vm); });
+    m_queue.Schedule(kReconnectDelay, [this, hello = m_hellos.at(other), vm] {
+      Dial(hello, vm);
+    });
   }
 }
 
@@ -386,12 +423,8 @@
       m_frozen.contains(to) || m_frozen.contains(from.vm)) {
     return;
   }
-  Hello other;
-  other.vm = to;
-  other.role = to.Value().starts_with("10.0.1.") ? Role::kAgent : Role::kEntry;
-  other.keeps_origins = other.role == Role::kAgent;
   peer->second->OnPeerUp(from);
-  own->second->OnPeerUp(other);
+  own->second->OnPeerUp(m_hellos.at(to));
 }
 
 void GatewayDeployment::Deliver(const VmName& from, const VmName& to,
@@ -406,10 +439,13 @@
 
 void GatewayDeployment::TickAll() {
   const TimePoint now = m_clock.Now();
-  for (const auto& agent : m_agents) agent->Tick(now);
+  for (const auto& agent : m_agents) {
+    if (agent != nullptr) agent->Tick(now);
+  }
   for (int i = 0; i < EntryCount(); ++i) {
     if (m_frozen.contains(EntryVm(i))) continue;
-    m_entries.at(static_cast<size_t>(i))->Tick(now);
+    Entry* entry = m_entries.at(static_cast<size_t>(i)).get();
+    if (entry != nullptr) entry->Tick(now);
   }
 }
 
@@ -424,9 +460,11 @@
 }
 
 void GatewayDeployment::Register(const RegisteredUpstream& registration) {
-  for (const auto& agent : m_agents) agent->directory.ApplyUpdate(registration);
+  for (const auto& agent : m_agents) {
+    if (agent != nullptr) agent->directory.ApplyUpdate(registration);
+  }
   for (const auto& entry : m_entries) {
-    entry->board.upstreams.ApplyUpdate(registration);
+    if (entry != nullptr) entry->board.upstreams.ApplyUpdate(registration);
   }
 }
 
@@ -557,7 +595,9 @@
 
 size_t GatewayDeployment::OpenRequestCount() const {
   size_t open = 0;
-  for (const auto& entry : m_entries) open += entry->server.OpenExchangeCount();
+  for (const auto& entry : m_entries) {
+    if (entry != nullptr) open += entry->server.OpenExchangeCount();
+  }
   return open;
 }
 
--- a/emulation/gateway_deployment.h
+++ b/emulation/gateway_deployment.h
@@ -79,6 +79,8 @@
     int64_t tokens_per_event = 61;
     bool ignores_orders = false;
     int plain_upstreams = 0;
+    // Entries and runners are spread over so many availability zones in turn.
+    int zones = 1;
     // The first entries are seeds, to which the others connect.
     int seeds = 3;
     // Of messages between processes. One in `slow_messages` takes longer by
@@ -105,8 +107,12 @@
   // the registry still has the old name.
   void RegisterRunnersAgain();
 
-  // Ends the process of an entry and starts a new one at its address.
+  // Ends the process of an entry, or of the agent beside a runner. A process
+  // that is restarted begins at once; its peers dial it again after a time.
+  void KillEntry(int index);
   void RestartEntry(int index);
+  void KillAgent(int index);
+  void RestartAgent(int index);
   // An entry that joins, at an address of its own.
   void AddEntry();
   // The messages between this entry and its peers are lost from now on.
@@ -136,9 +142,10 @@
   int64_t RefusedDecodeCount() const { return m_refused_decodes; }
   // Reservations of prefill that agents have refused.
   int64_t RefusedPrefillCount() const { return m_refused_prefills; }
-  AgentStreamOrigins& Origins(int entry);
+  ReplicatedStreamOrigins& Origins(int entry);
   Random& Randomness() { return m_random; }
   int EntryCount() const { return static_cast<int>(m_entries.size()); }
+  int AgentCount() const { return static_cast<int>(m_agents.size()); }
 
   std::map<std::string, CallerResult>& Results() { return m_results; }
   RunnerCounters& Counts() { return m_counts; }
@@ -159,6 +166,11 @@
   static VmName EntryVm(int index);
   void TickAll();
   void StartEntry(int index);
+  void StartAgent(int index);
+  // A process has ended.
+  void Disconnect(const VmName& vm);
+  // Those that have dialled the VM dial it again.
+  void Redial(const VmName& vm);
   void Call(const std::string& id, int entry, const std::string& request);
   bool IsCut(const VmName& one, const VmName& other) const {
     return m_cut.contains(one) || m_cut.contains(other);
@@ -182,6 +194,7 @@
   KvHandles m_handles;
   RunnerCounters m_counts;
   std::map<VmName, PeerEvents*> m_peers;
+  std::map<VmName, Hello> m_hellos;  // Of all processes so far.
   // Connections between entries that one side dials again when they are lost,
   // by the dialled VM.
   std::map<VmName, std::set<VmName>> m_dialled_by;
@@ -207,6 +220,7 @@
   // Kept, since connections that they opened still deliver events to them.
   std::vector<std::unique_ptr<Entry>> m_ended_entries;
   std::vector<std::unique_ptr<Agent>> m_agents;
+  std::vector<std::unique_ptr<Agent>> m_ended_agents;
   std::map<std::string, std::unique_ptr<Caller>> m_callers;
   std::map<std::string, CallerResult> m_results;
   http::ConnectionPool m_caller_pool{&m_socket_network, &m_clock};
--- a/tests/gateway_test_out_of_step.cc
+++ b/tests/gateway_test_out_of_step.cc
@@ -250,12 +250,12 @@
   };
   Result result;
   PeerLinkFake link;
-  AgentStreamOrigins former(&m_board, &link);
-  AgentStreamOrigins present(&m_board, &link);
+  ReplicatedStreamOrigins former(&m_board, &link);
+  ReplicatedStreamOrigins present(&m_board, &link);
   Hello hello;
   hello.vm = VmName("10.0.2.2");
   hello.keeps_origins = true;
-  for (AgentStreamOrigins* process : {&former, &present}) {
+  for (ReplicatedStreamOrigins* process : {&former, &present}) {
     process->OnPeerUp(hello);
     process->Tick();
   }
--- a/tests/routing_test_stream_origins.cc
+++ b/tests/routing_test_stream_origins.cc
@@ -26,7 +26,8 @@
 TEST_GROUP(StreamOriginMemory) {
   bool Record(const StreamKey& stream, const SoftwareVersion& version,
               Duration keep = minutes(1)) {
-    return m_memory.Record(stream, version, keep, m_clock.Now());
+    return m_memory.Record(stream, version, keep, m_clock.Now()) !=
+           StreamOriginMemory::RecordResult::kInvalid;
   }
   // Empty if unknown.
   std::string Version(const StreamKey& stream) const {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -145,9 +145,9 @@
   CHECK(DecodeMessages(
       EncodeMessages(std::vector<Message>{
           StreamOrigin{ServiceName("s"), RequestId(4), SoftwareVersion("1.0"),
-                       Duration(5)},
+                       Duration(5), 2},
           StreamOriginQuery{8, ServiceName("t"), RequestId(6)},
-          StreamOriginAnswer{9, SoftwareVersion("2.0")},
+          StreamOriginAnswer{9, SoftwareVersion("2.0"), Duration(7)},
           StreamOriginAnswer{10, SoftwareVersion()}, MakeHello("vm", 1)}),
       &decoded));
   const auto& origin = std::get<StreamOrigin>(decoded.at(0));
@@ -155,11 +155,13 @@
   CHECK(origin.stream == RequestId(4));
   CHECK(origin.version == SoftwareVersion("1.0"));
   CHECK(origin.keep == Duration(5));
+  LONGS_EQUAL(2, origin.holder);
   const auto& query = std::get<StreamOriginQuery>(decoded.at(1));
   LONGS_EQUAL(8, query.id);
   CHECK(query.service == ServiceName("t"));
   CHECK(query.stream == RequestId(6));
   LONGS_EQUAL(9, std::get<StreamOriginAnswer>(decoded.at(2)).id);
+  CHECK(std::get<StreamOriginAnswer>(decoded.at(2)).wait == Duration(7));
   CHECK(std::get<StreamOriginAnswer>(decoded.at(2)).version ==
         SoftwareVersion("2.0"));
   CHECK_FALSE(std::get<StreamOriginAnswer>(decoded.at(3)).version.IsValid());
