A stream is taken up at the service that began it, whatever the weights

The weights of a split route change from 95:5 to 5:95, an entry ends, and most of its streams are refused with 503 at the other entries, although both services stay allowed and serve.

Cause: the service of a take-up was drawn from the hash of its attempt and the weights in force, and the stream was looked for at that service only.

Ruled out: origins that the manifest or the end of the entry loses; streams that are found and have no room.

Why it works: TakeUps asks for the stream at each service of its route, and at those that the route had in earlier configurations. If the route still allows that service, weights aside, the stream goes on there; else it is refused at once, with that reason in the log. Engines and plain services share this code: the request waits for its service in TakeUps, before StreamCalls or PlainRequests begin it.

--- a/burdockhill/gateway.h
+++ b/burdockhill/gateway.h
@@ -19,6 +19,7 @@
 #include "burdockhill/src/gateway/reservations.h"      // IWYU pragma: export
 #include "burdockhill/src/gateway/settings.h"          // IWYU pragma: export
 #include "burdockhill/src/gateway/stream_origins.h"    // IWYU pragma: export
+#include "burdockhill/src/gateway/take_up.h"           // IWYU pragma: export
 #include "burdockhill/src/gateway/team_admission.h"    // IWYU pragma: export
 #include "burdockhill/src/gateway/upstream_permits.h"  // IWYU pragma: export
 
--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -168,7 +168,7 @@
   PlainRequests plain(&board, &permits, &origins);
   StreamCalls streams(&board, &reservations, &permits, &origins);
   reservations.SetEvents(&streams);
-  Gateway gateway(&board, &plain, &streams);
+  Gateway gateway(&board, &plain, &streams, &origins);
   TeamAdmission admission(
       {settings.vm, settings.seeds, settings.limit_tolerance}, &board,
       &context.peers, &board.routes.Teams());
--- a/burdockhill/src/gateway/entry_board.h
+++ b/burdockhill/src/gateway/entry_board.h
@@ -1,6 +1,8 @@
 #ifndef BURDOCKHILL_SRC_GATEWAY_ENTRY_BOARD_H_
 #define BURDOCKHILL_SRC_GATEWAY_ENTRY_BOARD_H_
 
+#include <optional>
+
 #include "burdockhill/src/base/event_log.h"
 #include "burdockhill/src/base/random.h"
 #include "burdockhill/src/gateway/codecs.h"
@@ -68,6 +70,14 @@
   const ConfigurationFreshness* freshness = nullptr;
   EventLog* log = nullptr;
   TeamUsageRecorder* team_usage = nullptr;  // Null if no team has a limit.
+
+  // The role of the engines that write streams of the service; nullopt if it is
+  // a plain service.
+  std::optional<EngineRole> StreamRole(const ServiceName& service) const {
+    const Service* found = routes.FindService(service);
+    const bool on_engines = found != nullptr && found->engine.has_value();
+    return on_engines ? std::optional(EngineRole::kDecode) : std::nullopt;
+  }
 };
 
 // A request in progress: the state that all kinds of requests have in common.
@@ -78,6 +88,9 @@
   ServiceName service;
   Generation generation;  // Of the configuration that the route is from.
   TeamName team;          // Invalid if the caller belongs to none.
+  // Of the upstream that began the stream which the caller takes up; nullopt
+  // for other requests, and before it is known.
+  std::optional<SoftwareVersion> stream_version;
   // Taken from the team's limit for one run; zero without a limit.
   QuotaUnits cost;
   bool is_charged = false;      // The cost was taken from the limit.
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "burdockhill/src/gateway/take_up.h"
-
 namespace burdockhill {
 
 void Gateway::OnRequest(http::ExchangeId id, http::Head head,
@@ -33,12 +31,12 @@
     return FailRequest(m_board, routed, ErrorKind::kNotFound, Duration(0),
                        "no route");
   }
-  // A stream that is taken up stays at its service. The lowest bit of the hash
-  // is always set.
-  const uint64_t draw =
-      route->kind == RequestKind::kResumableStream
-          ? HashRequestId(TakeUps::OriginOf(routed)).Value() / 2
-          : m_board->random->NextNumber();
+  // A stream that is taken up goes on at its own service, see TakeUps. Entries
+  // of the former software look for it at the one that its attempt draws. The
+  // lowest bit of the hash is always set.
+  const uint64_t draw = route->kind == RequestKind::kResumableStream
+                            ? HashRequestId(StreamAttemptOf(routed)).Value() / 2
+                            : m_board->random->NextNumber();
   routed.service = RouteTable::PickService(*route, draw);
   Duration limit = route->timeout;
   if (routed.request.caller_timeout.has_value()) {
@@ -62,8 +60,12 @@
     return FailRequest(m_board, routed, ErrorKind::kBarred, Duration(0),
                        "upstreams that ran it have crashed");
   }
-  const Service* service = m_board->routes.FindService(routed.service);
-  const bool on_engines = service != nullptr && service->engine.has_value();
+  if (IsTakeUp(routed)) return m_take_ups.Begin(std::move(routed));
+  Begin(std::move(routed));
+}
+
+void Gateway::Begin(RoutedRequest routed) {
+  const bool on_engines = m_board->StreamRole(routed.service).has_value();
   if (on_engines && IsStream(routed.route.kind)) {
     m_streams->Begin(std::move(routed));
   } else {
@@ -73,6 +75,7 @@
 
 void Gateway::OnCallerDisconnected(http::ExchangeId id) {
   if (m_admission != nullptr && m_admission->OnCallerDisconnected(id)) return;
+  if (m_take_ups.OnCallerDisconnected(id)) return;
   if (m_plain->OnCallerDisconnected(id)) return;
   m_streams->OnCallerDisconnected(id);
 }
@@ -113,6 +116,11 @@
   m_board->prompt_parts.Tick(now);
   DivideConnectionLimits();
   m_team_faults.Tick(m_board);
+  if (m_board->prompt_parts.TakeNewBlame()) {
+    m_take_ups.RefuseBarred();
+    m_streams->RefuseBarredStreams();
+  }
+  m_take_ups.Tick();
   m_plain->Tick();
   m_streams->Tick();
   CloseForShutdown(now);
@@ -124,6 +132,7 @@
   m_board->shutdown_deadline = m_shutdown.AnswerDeadline();
   m_plain->LimitDeadlines(m_board->shutdown_deadline);
   m_streams->LimitDeadlines(m_board->shutdown_deadline);
+  m_take_ups.LimitDeadlines(m_board->shutdown_deadline);
   if (m_admission != nullptr) {
     m_admission->LimitDeadlines(m_board->shutdown_deadline);
   }
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "burdockhill/src/gateway/plain_requests.h"
 #include "burdockhill/src/gateway/shutdown.h"
 #include "burdockhill/src/gateway/stream_calls.h"
+#include "burdockhill/src/gateway/take_up.h"
 #include "burdockhill/src/gateway/team_admission.h"
 #include "burdockhill/src/gateway/team_resolution.h"
 
@@ -17,10 +18,16 @@
 
 // Receives the HTTP requests of callers, finds their routes, and dispatches
 // them to the controller for plain requests or for streams of model engines.
-class Gateway : public http::ServerEvents, public TeamAdmissionEvents {
+class Gateway : public http::ServerEvents,
+                public TeamAdmissionEvents,
+                private TakeUpEvents {
  public:
-  Gateway(EntryBoard* board, PlainRequests* plain, StreamCalls* streams)
-      : m_board(board), m_plain(plain), m_streams(streams) {}
+  Gateway(EntryBoard* board, PlainRequests* plain, StreamCalls* streams,
+          StreamOrigins* origins)
+      : m_board(board),
+        m_plain(plain),
+        m_streams(streams),
+        m_take_ups(board, origins, this) {}
 
   // Requests of teams with a limit pass through `admission`.
   void SetTeamAdmission(TeamAdmission* admission) { m_admission = admission; }
@@ -38,7 +45,9 @@
   bool IsReady() const;
   // Whether no request is in progress.
   bool IsIdle() const {
-    return m_plain->InProgressCount() + m_streams->InProgressCount() == 0 &&
+    return m_plain->InProgressCount() + m_streams->InProgressCount() +
+                   m_take_ups.InProgressCount() ==
+               0 &&
            (m_admission == nullptr || m_admission->InProgressCount() == 0);
   }
 
@@ -56,6 +65,9 @@
   // Passes on a request whose route and team are known. Refuses one that cannot
   // be served by this process or any upstream.
   void Dispatch(RoutedRequest routed);
+  void OnTakenUp(RoutedRequest routed) override { Begin(std::move(routed)); }
+  // Passes on a request that goes to upstreams of its service.
+  void Begin(RoutedRequest routed);
   // Closes and refuses what the stop leaves no time for.
   void CloseForShutdown(TimePoint now);
   // Limits the calls to each upstream to this entry's share of the connections
@@ -65,6 +77,7 @@
   EntryBoard* m_board;
   PlainRequests* m_plain;
   StreamCalls* m_streams;
+  TakeUps m_take_ups;
   TeamAdmission* m_admission = nullptr;
   Shutdown m_shutdown;
   TeamFaultLog m_team_faults;
--- a/burdockhill/src/gateway/plain_requests.cc
+++ b/burdockhill/src/gateway/plain_requests.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "burdockhill/src/gateway/stream_origin_recorder.h"
+#include "burdockhill/src/gateway/take_up.h"
+
 namespace burdockhill {
 
 namespace {
@@ -46,29 +49,14 @@
   m_board->retry_budget.CountRequest(routed.service, routed.arrived_at);
   Request& request = m_requests.FindOrInsert(id);
   request.routed = std::move(routed);
-  if (!TakeUps::IsTakeUp(request.routed)) return Place(&request);
-  m_take_ups.Find(request.routed);
-}
-
-void PlainRequests::OnTakenUp(http::ExchangeId id,
-                              const SoftwareVersion& version) {
-  Request* request = m_requests.Find(id);
-  request->version = version;
-  Place(request);
-}
-
-void PlainRequests::OnNotTakenUp(http::ExchangeId id, Duration retry_after,
-                                 std::string_view reason) {
-  FailRequest(m_board, m_requests.Find(id)->routed, ErrorKind::kNoUpstream,
-              retry_after, reason);
-  FinishRequest(id);
+  Place(&request);
 }
 
 std::vector<const RegisteredUpstream*> PlainRequests::FindUpstreams(
     const Request& request) const {
   auto upstreams = m_board->upstreams.FindByService(request.routed.service);
   std::erase_if(upstreams, [&](const RegisteredUpstream* upstream) {
-    return !FitsVersion(*upstream, request.version);
+    return !FitsVersion(*upstream, request.routed.stream_version);
   });
   return upstreams;
 }
@@ -185,7 +173,7 @@
   const bool usable =
       upstream != nullptr && !upstream->leaving &&
       upstream->service == request->routed.service &&
-      FitsVersion(*upstream, request->version) &&
+      FitsVersion(*upstream, request->routed.stream_version) &&
       !m_board->pauses.IsPaused(*upstream, m_board->clock->Now()) &&
       !m_board->upstreams.IsSuperseded(*upstream);
   if (usable) return StartPlacedCall(request, upstream);
@@ -275,8 +263,8 @@
     return true;
   }
   if (head.status != http::kOk) return true;
-  if (request->version.has_value() &&
-      m_take_ups.HasRestarted(request->routed, request->called_version)) {
+  if (request->routed.stream_version.has_value() &&
+      HasRestarted(*m_board, request->routed, request->called_version)) {
     m_board->connections->Cancel(id);
     m_exchanges_by_call.Erase(id);
     request->call = http::CallId();
@@ -315,7 +303,8 @@
     const bool first = request->events->Count() == 0;
     const std::string complete_events = request->events->Append(bytes);
     if (first && request->events->Count() > 0) {
-      m_take_ups.RecordFirstEvent(request->routed, request->called_version);
+      RecordFirstEvent(*m_board, request->routed, request->called_version,
+                       m_origins);
     }
     m_board->server->WriteStream(exchange, complete_events);
     kept = request->events->PartialSize();
@@ -564,7 +553,6 @@
 }
 
 void PlainRequests::FinishRequest(http::ExchangeId id) {
-  m_take_ups.Cancel(id);
   if (const Request* request = m_requests.Find(id)) {
     m_permits->Cancel(request->permit);
     m_exchanges_by_permit.Erase(request->permit);
--- a/burdockhill/src/gateway/plain_requests.h
+++ b/burdockhill/src/gateway/plain_requests.h
@@ -9,7 +9,6 @@
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/stream_origins.h"
-#include "burdockhill/src/gateway/take_up.h"
 #include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 
@@ -23,14 +22,11 @@
 // began it.
 class PlainRequests : private http::CallEvents,
                       private PermitEvents,
-                      private TakeUpEvents,
                       private BufferOwner {
  public:
   PlainRequests(EntryBoard* board, UpstreamPermits* permits,
                 StreamOrigins* origins)
-      : m_board(board),
-        m_permits(permits),
-        m_take_ups(board, origins, /*role=*/std::nullopt, this) {}
+      : m_board(board), m_permits(permits), m_origins(origins) {}
 
   // Takes over a request and sends it to an upstream.
   void Begin(RoutedRequest routed);
@@ -50,9 +46,6 @@
     http::CallId call;
     TimePoint call_started_at{};
     SoftwareVersion called_version;  // Of the upstream of the latest call.
-    // Of the upstream that began the stream which the caller takes up; nullopt
-    // for other requests.
-    std::optional<SoftwareVersion> version;
     std::set<UpstreamName> tried_upstreams;
     PermitId permit;             // Valid while a permit is awaited.
     UpstreamName next_upstream;  // To be called with that permit.
@@ -93,10 +86,6 @@
   void OnPermit(PermitId id) override;
   void OnNoPermit(PermitId id) override;
 
-  void OnTakenUp(http::ExchangeId id, const SoftwareVersion& version) override;
-  void OnNotTakenUp(http::ExchangeId id, Duration retry_after,
-                    std::string_view reason) override;
-
   Request* FindRequest(http::CallId id);
   Request* TakePermitRequest(PermitId id);
   // Upstreams that fit the request, see FitsVersion.
@@ -162,7 +151,7 @@
 
   EntryBoard* m_board;
   UpstreamPermits* m_permits;
-  TakeUps m_take_ups;
+  StreamOrigins* m_origins;
   Table<http::ExchangeId, Request> m_requests;
   Table<PermitId, http::ExchangeId> m_exchanges_by_permit;
   Table<http::CallId, http::ExchangeId> m_exchanges_by_call;
--- a/burdockhill/src/gateway/stream_calls.cc
+++ b/burdockhill/src/gateway/stream_calls.cc
@@ -27,24 +27,8 @@
   stream.routed = std::move(routed);
   stream.last_event_at = stream.routed.arrived_at;
   stream.caller_waiting_since = stream.routed.arrived_at;
-  if (!TakeUps::IsTakeUp(stream.routed)) return ReserveDecodeEngine(&stream);
-  stream.phase = Phase::kFindingOrigin;
-  m_take_ups.Find(stream.routed);
-}
-
-void StreamCalls::OnTakenUp(http::ExchangeId id,
-                            const SoftwareVersion& version) {
-  Stream* stream = m_streams.Find(id);
-  stream->version = version;
-  ReserveDecodeEngine(stream);
-}
-
-void StreamCalls::OnNotTakenUp(http::ExchangeId id, Duration retry_after,
-                               std::string_view reason) {
-  Stream* stream = m_streams.Find(id);
-  FailRequest(m_board, stream->routed, ErrorKind::kNoUpstream, retry_after,
-              reason);
-  FinishStream(stream);
+  stream.version = stream.routed.stream_version;
+  ReserveDecodeEngine(&stream);
 }
 
 StreamCalls::Stream* StreamCalls::FindStream(http::CallId id) {
@@ -107,7 +91,6 @@
 
 void StreamCalls::Tick() {
   const TimePoint now = m_board->clock->Now();
-  if (m_board->prompt_parts.TakeNewBlame()) RefuseBarredStreams();
   std::vector<http::ExchangeId> timed_out;
   std::vector<http::CallId> slow_prefills;
   std::vector<http::ExchangeId> silent;
@@ -277,7 +260,6 @@
 }
 
 void StreamCalls::FinishStream(Stream* stream) {
-  m_take_ups.Cancel(stream->routed.exchange);
   ReleaseSilentCall(stream);
   ReleaseAttempt(stream);
   m_streams.Erase(stream->routed.exchange);
--- a/burdockhill/src/gateway/stream_calls.h
+++ b/burdockhill/src/gateway/stream_calls.h
@@ -11,7 +11,6 @@
 #include "burdockhill/src/gateway/entry_board.h"
 #include "burdockhill/src/gateway/reservations.h"
 #include "burdockhill/src/gateway/stream_origins.h"
-#include "burdockhill/src/gateway/take_up.h"
 #include "burdockhill/src/gateway/upstream_permits.h"
 #include "burdockhill/src/http/sse_event_splitter.h"
 #include "burdockhill/src/routing/stream_budget.h"
@@ -32,18 +31,17 @@
 // on. Without another engine the stream stays where it is until its deadline.
 class StreamCalls : public ReservationEvents,
                     private http::CallEvents,
-                    private PermitEvents,
-                    private TakeUpEvents {
+                    private PermitEvents {
  public:
   StreamCalls(EntryBoard* board, Reservations* reservations,
               UpstreamPermits* permits, StreamOrigins* origins)
       : m_board(board),
         m_reservations(reservations),
         m_permits(permits),
-        m_take_ups(board, origins, EngineRole::kDecode, this) {}
+        m_origins(origins) {}
 
-  // Takes over a request and reserves memory for it, once it is known which
-  // engines may serve it.
+  // Takes over a request and reserves memory for it. A stream that is taken up
+  // goes on at the version of the request only.
   void Begin(RoutedRequest routed);
   // Returns false if the exchange belongs to another controller.
   bool OnCallerDisconnected(http::ExchangeId id);
@@ -54,6 +52,9 @@
   // Ends all streams in progress at this time at the latest.
   void LimitDeadlines(TimePoint latest);
   size_t InProgressCount() const { return m_streams.Size(); }
+  // Ends the streams that wait for a reservation and must not reach an upstream
+  // any more.
+  void RefuseBarredStreams();
 
   void OnReserved(const AttemptId& attempt,
                   const UpstreamName& engine) override;
@@ -62,7 +63,6 @@
 
  private:
   enum class Phase {
-    kFindingOrigin,     // Of a stream that the caller takes up.
     kAwaitingPauseEnd,  // All decode engines want no requests now.
     kReservingDecode,
     kAwaitingDecodePermit,  // For the engine that was just reserved.
@@ -152,10 +152,6 @@
   void OnPermit(PermitId id) override;
   void OnNoPermit(PermitId id) override;
 
-  void OnTakenUp(http::ExchangeId id, const SoftwareVersion& version) override;
-  void OnNotTakenUp(http::ExchangeId id, Duration retry_after,
-                    std::string_view reason) override;
-
   Stream* FindStream(http::CallId id);
   Stream* TakePermitStream(PermitId id);
   // Waits in this phase for a permit to call the engine, for as long as the
@@ -206,9 +202,6 @@
   void RecordSoundAnswer(Stream* stream);
   // Ends the stream if it must not reach an upstream any more.
   bool RefuseIfBarred(Stream* stream);
-  // Ends the streams that wait for a reservation and must not reach an upstream
-  // any more.
-  void RefuseBarredStreams();
   // One or more events have arrived; `first`: no event had before.
   void RecordEvent(Stream* stream, bool first);
   void OnPrefillEnd(Stream* stream);
@@ -271,7 +264,7 @@
   EntryBoard* m_board;
   Reservations* m_reservations;
   UpstreamPermits* m_permits;
-  TakeUps m_take_ups;
+  StreamOrigins* m_origins;
   Table<http::ExchangeId, Stream> m_streams;
   Table<PermitId, http::ExchangeId> m_exchanges_by_permit;
   Table<http::CallId, http::ExchangeId> m_exchanges_by_call;
--- a/burdockhill/src/gateway/stream_placement.cc
+++ b/burdockhill/src/gateway/stream_placement.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "burdockhill/src/gateway/stream_calls.h"
+#include "burdockhill/src/gateway/take_up.h"
 
 namespace burdockhill {
 
--- a/burdockhill/src/gateway/stream_responses.cc
+++ b/burdockhill/src/gateway/stream_responses.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "burdockhill/src/gateway/stream_calls.h"
+#include "burdockhill/src/gateway/stream_origin_recorder.h"
 
 namespace burdockhill {
 
@@ -44,7 +45,7 @@
   stream->may_have_run = true;
   if (!is_stream) return true;
   if (stream->version.has_value() &&
-      m_take_ups.HasRestarted(stream->routed, stream->called_version)) {
+      HasRestarted(*m_board, stream->routed, stream->called_version)) {
     m_board->connections->Cancel(id);
     m_exchanges_by_call.Erase(id);
     stream->call = http::CallId();
@@ -62,7 +63,7 @@
   if (!stream->version.has_value()) {
     // An unknown version fits no engine that could go on with the stream.
     stream->version =
-        m_take_ups.HasRestarted(stream->routed, stream->called_version)
+        HasRestarted(*m_board, stream->routed, stream->called_version)
             ? SoftwareVersion()
             : stream->called_version;
   }
@@ -117,7 +118,8 @@
     // The prompt has been computed, also if the decode engine did it.
     ReleasePrefill(stream);
     stream->first_event_at = now;
-    m_take_ups.RecordFirstEvent(stream->routed, stream->called_version);
+    RecordFirstEvent(*m_board, stream->routed, stream->called_version,
+                     m_origins);
   } else {
     stream->longest_gap =
         std::max(stream->longest_gap, now - stream->last_event_at);
--- a/burdockhill/src/routing/route_table.cc
+++ b/burdockhill/src/routing/route_table.cc
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace burdockhill {
 
 bool RouteTable::Apply(RoutingConfiguration configuration) {
   if (configuration.generation <= m_configuration.generation) return false;
-  m_configuration = std::move(configuration);
+  const RoutingConfiguration former =
+      std::exchange(m_configuration, std::move(configuration));
+  KeepFormerServices(former.routes);
   m_routes_by_host.clear();
   m_service_indices.clear();
   const std::vector<Route>& routes = m_configuration.routes;
@@ -27,6 +30,48 @@
   return true;
 }
 
+void RouteTable::KeepFormerServices(const std::vector<Route>& former_routes) {
+  for (const Route& route : former_routes) {
+    if (route.kind != RequestKind::kResumableStream) continue;
+    std::vector<ServiceName>& former = m_former_services[route.name];
+    for (const WeightedService& choice : route.services) {
+      if (!IsAllowed(route, choice.service)) continue;
+      std::erase(former, choice.service);
+      former.push_back(choice.service);
+    }
+    if (former.size() > kMaxFormerServices) {
+      former.erase(former.begin(), former.end() - kMaxFormerServices);
+    }
+  }
+  if (m_former_services.size() <= kMaxFormerRoutes) return;
+  std::set<RouteName> present;
+  for (const Route& route : m_configuration.routes) present.insert(route.name);
+  std::erase_if(m_former_services, [&](const auto& item) {
+    return !present.contains(item.first);
+  });
+}
+
+std::vector<ServiceName> RouteTable::FormerServices(
+    const RouteName& route) const {
+  const auto found = m_former_services.find(route);
+  if (found == m_former_services.end()) return {};
+  return found->second;
+}
+
+bool RouteTable::IsAllowed(const Route& route, const ServiceName& service) {
+  const bool has_weights = std::any_of(
+      route.services.begin(), route.services.end(),
+      [](const WeightedService& choice) { return choice.weight > 0; });
+  // Without any weight, see PickService, the first service gets all requests.
+  if (!has_weights) {
+    return !route.services.empty() && route.services.front().service == service;
+  }
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [&](const WeightedService& choice) {
+                       return choice.weight > 0 && choice.service == service;
+                     });
+}
+
 void RouteTable::ApplyTeams() {
   std::vector<TeamFault>& faults = m_configuration.team_faults;
   for (TeamFault& fault :
--- a/burdockhill/src/routing/route_table.h
+++ b/burdockhill/src/routing/route_table.h
@@ -1,8 +1,10 @@
 #ifndef BURDOCKHILL_SRC_ROUTING_ROUTE_TABLE_H_
 #define BURDOCKHILL_SRC_ROUTING_ROUTE_TABLE_H_
 
+#include <map>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "burdockhill/src/base/random.h"
 #include "burdockhill/src/routing/routes.h"
@@ -34,14 +36,25 @@
   // and the same one picks the same service. The route has to have at least
   // one.
   static const ServiceName& PickService(const Route& route, uint64_t draw);
+  // Whether requests of the route may go to the service.
+  static bool IsAllowed(const Route& route, const ServiceName& service);
+  // Services to which streams of the route could go in the configurations that
+  // this process had in force before; some of them may be allowed still.
+  std::vector<ServiceName> FormerServices(const RouteName& route) const;
 
  private:
+  static constexpr size_t kMaxFormerServices = 4;  // Of a route; the latest.
+  static constexpr size_t kMaxFormerRoutes = 1024;
+
+  // Takes over the services that the routes of a former configuration allowed.
+  void KeepFormerServices(const std::vector<Route>& former_routes);
   // Moves the teams of the configuration into the directory.
   void ApplyTeams();
 
   RoutingConfiguration m_configuration;
   TeamDirectory m_teams;
   PriorityLevels m_priority_levels;
+  std::map<RouteName, std::vector<ServiceName>> m_former_services;
   // Indices of the configuration's routes by host, longest prefix first.
   std::unordered_map<std::string, std::vector<size_t>> m_routes_by_host;
   // Indices of the configuration's services.
--- a/emulation/gateway_deployment.cc
+++ b/emulation/gateway_deployment.cc
@@ -153,7 +153,7 @@
                                  {&relay, &permits, &origins}};
   PlainRequests plain{&board, &permits, &origins};
   StreamCalls streams{&board, &reservations, &permits, &origins};
-  Gateway gateway{&board, &plain, &streams};
+  Gateway gateway{&board, &plain, &streams, &origins};
   http::Server server;
 };
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -353,7 +353,7 @@
   empty.codec = &m_codec;
   empty.log = &m_log;
   empty.server = &m_server;
-  Gateway gateway(&empty, &m_plain, &m_streams);
+  Gateway gateway(&empty, &m_plain, &m_streams, &m_origins);
   CHECK(!gateway.IsReady());
   CHECK(m_gateway.IsReady());
 }
--- a/tests/gateway_test_entry.h
+++ b/tests/gateway_test_entry.h
@@ -240,7 +240,7 @@
   emulation::StreamOriginsFake m_origins;
   PlainRequests m_plain{&m_board, &m_permits, &m_origins};
   StreamCalls m_streams{&m_board, &m_reservations, &m_permits, &m_origins};
-  Gateway m_gateway{&m_board, &m_plain, &m_streams};
+  Gateway m_gateway{&m_board, &m_plain, &m_streams, &m_origins};
   http::Server m_server{&m_sockets, &m_clock, &m_gateway};
 };
 
