A stream is taken up on its own route and by its own team only

What callers saw: nothing was reported. A take-up that names an attempt of another route or team of the same service was served at the version of that stream, at a guess; and a team that records an attempt of another one at a second version made that stream unknown.

Cause: origins were kept by service and attempt only.

Evidence: AnotherRouteTakesUpNoStream on the former code: a stream of one route goes on at another one. Nothing else compares route or team.

Why it works: a hash of route and team is a part of the key wherever origins are recorded, told to holders and asked for. It has 32 bits on the wire, in new fields of known messages. What processes of the former software record has no owner and is found by all; what they ask for is answered if all owners agree, as before.

--- a/burdockhill/src/gateway/origin_keeper.cc
+++ b/burdockhill/src/gateway/origin_keeper.cc
@@ -18,9 +18,12 @@
 
 StreamOrigin StreamOriginFor(const OriginReplicas::Copy& copy,
                              const SoftwareVersion& version, Duration keep) {
-  return {copy.stream.service, copy.stream.attempt, version,
+  return {copy.stream.service,
+          copy.stream.attempt,
+          version,
           std::min(keep, kMaxOriginKeep),
-          static_cast<uint8_t>(copy.position + 1)};
+          static_cast<uint8_t>(copy.position + 1),
+          copy.stream.owner};
 }
 
 void OriginKeeper::OnEntryUp(const Hello& hello) {
@@ -51,12 +54,12 @@
 }
 
 void OriginKeeper::OnOrigin(const StreamOrigin& origin) {
-  const StreamKey stream{origin.service, origin.stream};
+  const StreamKey stream{origin.service, origin.stream, origin.owner};
   if (m_memory.Record(stream, origin.version, origin.keep, m_clock->Now()) !=
       StreamOriginMemory::RecordResult::kChanged) {
     return;
   }
-  AnswerOpenQueries(stream);
+  AnswerOpenQueries(stream.attempt);
   if (origin.holder == 0) return;
   const auto position = static_cast<uint8_t>(origin.holder - 1);
   for (OriginReplicas::Copy& copy : m_replicas.Tell(stream, {position, 1})) {
@@ -67,10 +70,11 @@
 
 void OriginKeeper::OnQuery(const VmName& from, const StreamOriginQuery& query) {
   const TimePoint now = m_clock->Now();
-  const StreamKey stream{query.service, query.stream};
+  const StreamKey stream{query.service, query.stream, query.owner};
   const Duration wait = m_started_at + kRestoreTime - now;
-  if (m_memory.Contains(stream) || wait <= Duration(0)) {
-    const auto known = m_memory.Find(stream, now);
+  const auto known = m_memory.Find(stream, now);
+  if (known.has_value() || m_memory.IsAmbiguous(stream, now) ||
+      wait <= Duration(0)) {
     return Answer(from, query.id,
                   known.has_value() ? known->version : SoftwareVersion());
   }
@@ -88,11 +92,12 @@
   m_peers->Send(to, StreamOriginAnswer{id, version});
 }
 
-void OriginKeeper::AnswerOpenQueries(const StreamKey& stream) {
-  const auto known = m_memory.Find(stream, m_clock->Now());
-  if (!known.has_value()) return;
+void OriginKeeper::AnswerOpenQueries(const RequestId& attempt) {
+  const TimePoint now = m_clock->Now();
   std::erase_if(m_open_queries, [&](const OpenQuery& query) {
-    if (query.stream != stream) return false;
+    if (query.stream.attempt != attempt) return false;
+    const auto known = m_memory.Find(query.stream, now);
+    if (!known.has_value()) return false;
     Answer(query.from, query.id, known->version);
     return true;
   });
--- a/burdockhill/src/gateway/origin_keeper.h
+++ b/burdockhill/src/gateway/origin_keeper.h
@@ -58,7 +58,8 @@
 
   void UpdatePeers();
   void Answer(const VmName& to, uint64_t id, const SoftwareVersion& version);
-  void AnswerOpenQueries(const StreamKey& stream);
+  // Those that this record of the attempt has answered.
+  void AnswerOpenQueries(const RequestId& attempt);
   void LogSize(TimePoint now);
 
   PeerLink* m_peers;
--- a/burdockhill/src/gateway/origin_searches.cc
+++ b/burdockhill/src/gateway/origin_searches.cc
@@ -36,7 +36,7 @@
   search.last_asked_at = now;
   if (const auto known = memory.Find(stream, now)) {
     search.origins.insert(known->version);
-  } else if (!is_valid || memory.Contains(stream)) {
+  } else if (!is_valid || memory.IsAmbiguous(stream, now)) {
     search.unknown_for = Duration(0);  // Recorded with two versions.
   } else if (!has_room) {
     ++m_refused;
@@ -57,8 +57,9 @@
       continue;
     }
     search->last_asked_at = now;
-    m_peers->Send(vm, StreamOriginQuery{id.Value(), search->stream.service,
-                                        search->stream.attempt});
+    m_peers->Send(
+        vm, StreamOriginQuery{id.Value(), search->stream.service,
+                              search->stream.attempt, search->stream.owner});
   }
 }
 
--- a/burdockhill/src/gateway/replicated_stream_origins.cc
+++ b/burdockhill/src/gateway/replicated_stream_origins.cc
@@ -60,7 +60,7 @@
 }
 
 void ReplicatedStreamOrigins::Hold(const StreamOrigin& origin) {
-  const StreamKey stream{origin.service, origin.stream};
+  const StreamKey stream{origin.service, origin.stream, origin.owner};
   const bool is_new = !m_memory.Contains(stream);
   if (m_memory.Record(stream, origin.version, origin.keep,
                       m_board->clock->Now()) ==
@@ -90,7 +90,8 @@
   } else if (const auto* origin = std::get_if<StreamOrigin>(&message)) {
     Hold(*origin);
   } else if (const auto* query = std::get_if<StreamOriginQuery>(&message)) {
-    const auto known = m_memory.Find({query->service, query->stream}, now);
+    const auto known =
+        m_memory.Find({query->service, query->stream, query->owner}, now);
     m_peers->Send(from, StreamOriginAnswer{query->id, known.has_value()
                                                           ? known->version
                                                           : SoftwareVersion()});
--- a/burdockhill/src/gateway/take_up.cc
+++ b/burdockhill/src/gateway/take_up.cc
@@ -1,5 +1,7 @@
 #include "burdockhill/src/gateway/take_up.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +12,14 @@
 // An entry that may lack the newest configuration has it by then.
 constexpr Duration kStaleRetryAfter = std::chrono::seconds(1);
 
+StreamOwner OwnerOf(const Route& route, const TeamName& team) {
+  const std::string& name = route.name.Value();
+  const uint64_t of_route = XXH64(name.data(), name.size(), 0);
+  const std::string& text = team.Value();
+  // 32 bits are sent to peers. Zero is not a valid owner.
+  return StreamOwner((XXH64(text.data(), text.size(), of_route) >> 32) | 1);
+}
+
 }  // namespace
 
 bool IsTakeUp(const RoutedRequest& routed) {
@@ -23,7 +33,8 @@
 }
 
 StreamKey StreamKeyOf(const RoutedRequest& routed, const ServiceName& service) {
-  return {service, HashRequestId(StreamAttemptOf(routed))};
+  return {service, HashRequestId(StreamAttemptOf(routed)),
+          OwnerOf(routed.route, routed.team)};
 }
 
 void TakeUps::Begin(RoutedRequest routed) {
--- a/burdockhill/src/peer/message.h
+++ b/burdockhill/src/peer/message.h
@@ -318,6 +318,7 @@
   // To an agent: which of the stream's holders it is, the first one is 1. It
   // tells the entry at the same position. Zero if it tells none.
   uint8_t holder = 0;
+  StreamOwner owner{};
 };
 
 // Entry to agent or entry: asks which version began a stream.
@@ -325,6 +326,7 @@
   uint64_t id = 0;  // Of the search, unique at its sender.
   ServiceName service;
   RequestId stream;
+  StreamOwner owner{};
 };
 
 // The answer to a StreamOriginQuery.
--- a/burdockhill/src/routing/stream_origin_memory.cc
+++ b/burdockhill/src/routing/stream_origin_memory.cc
@@ -25,7 +25,7 @@
 }
 
 StreamOriginMemory::Id StreamOriginMemory::IdOf(const StreamKey& stream) {
-  return {HashStream(stream), stream.attempt};
+  return {HashStream(stream), stream.attempt, stream.owner};
 }
 
 StreamOriginMemory::RecordResult StreamOriginMemory::Record(
@@ -62,14 +62,34 @@
   return ResultOf(changed);
 }
 
-std::optional<StreamOriginMemory::Origin> StreamOriginMemory::Find(
+std::vector<StreamOriginMemory::Origin> StreamOriginMemory::Candidates(
     const StreamKey& stream, TimePoint now) const {
-  const auto found = m_origins.find(IdOf(stream));
-  if (found == m_origins.end() || now >= found->second.until ||
-      !found->second.version.IsValid()) {
-    return std::nullopt;
+  std::vector<Origin> candidates;
+  const Id first{HashStream(stream), stream.attempt};
+  for (auto it = m_origins.lower_bound(first); it != m_origins.end(); ++it) {
+    const auto& [id, origin] = *it;
+    if (id.hash != first.hash || id.attempt != first.attempt) break;
+    const bool is_of_other = stream.owner.IsValid() && id.owner.IsValid() &&
+                             id.owner != stream.owner;
+    if (!is_of_other && now < origin.until) candidates.push_back(origin);
   }
-  return found->second;
+  return candidates;
+}
+
+std::optional<StreamOriginMemory::Origin> StreamOriginMemory::Find(
+    const StreamKey& stream, TimePoint now) const {
+  const std::vector<Origin> candidates = Candidates(stream, now);
+  if (candidates.empty()) return std::nullopt;
+  const bool agree = std::all_of(
+      candidates.begin(), candidates.end(), [&](const Origin& origin) {
+        return AreSameVersion(origin.version, candidates.front().version);
+      });
+  return agree ? std::optional(candidates.front()) : std::nullopt;
+}
+
+bool StreamOriginMemory::IsAmbiguous(const StreamKey& stream,
+                                     TimePoint now) const {
+  return !Candidates(stream, now).empty() && !Find(stream, now).has_value();
 }
 
 bool StreamOriginMemory::Contains(const StreamKey& stream) const {
--- a/burdockhill/src/routing/stream_origin_memory.h
+++ b/burdockhill/src/routing/stream_origin_memory.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
@@ -14,15 +15,18 @@
 namespace burdockhill {
 
 // The caller attempt that brought the first event of a stream, see
-// HashRequestId. It names the stream when a caller takes it up again.
+// HashRequestId. It names the stream when a caller takes it up again. Another
+// route or team does not go on with the stream, whatever attempt it names.
 struct StreamKey {
   ServiceName service;
   RequestId attempt;
+  StreamOwner owner{};
   bool IsValid() const { return service.IsValid() && attempt.IsValid(); }
   auto operator<=>(const StreamKey&) const = default;
 };
 
-// Identifies a stream in memory and ranks processes for it.
+// Ranks processes for a stream. Does not depend on its owner, which processes
+// of the former software do not know.
 uint64_t HashStream(const StreamKey& stream);
 
 // Streams that are kept at most, and for how long at most.
@@ -34,6 +38,10 @@
 // Which version of an upstream's software began each of the latest streams. A
 // stream that is recorded with two versions is unknown until it ends, since
 // nothing tells which of them is right.
+//
+// Processes of the former software neither record owners nor ask for them. What
+// is recorded without one is found by every owner, and a question without one
+// finds the streams of all owners.
 class StreamOriginMemory {
  public:
   struct Origin {
@@ -54,8 +62,11 @@
   // record. If there are too many streams, those that end first are dropped.
   RecordResult Record(const StreamKey& stream, const SoftwareVersion& version,
                       Duration keep, TimePoint now);
+  // Nullopt if the stream is unknown, or was recorded with two versions.
   std::optional<Origin> Find(const StreamKey& stream, TimePoint now) const;
-  // Whether the stream was recorded, also with two versions.
+  // Whether the stream was recorded with two versions.
+  bool IsAmbiguous(const StreamKey& stream, TimePoint now) const;
+  // Whether exactly this stream was recorded, also with two versions.
   bool Contains(const StreamKey& stream) const;
   // Until when the stream is kept, also if it was recorded with two versions.
   std::optional<TimePoint> Until(const StreamKey& stream) const;
@@ -71,9 +82,12 @@
   struct Id {
     uint64_t hash = 0;
     RequestId attempt;
+    StreamOwner owner{};
     auto operator<=>(const Id&) const = default;
   };
   static Id IdOf(const StreamKey& stream);
+  // What was recorded of the stream, as far as it is kept at this time.
+  std::vector<Origin> Candidates(const StreamKey& stream, TimePoint now) const;
 
   size_t m_max_streams;
   // An invalid version means that the stream was recorded with two.
--- a/burdockhill/src/wire/codec.cc
+++ b/burdockhill/src/wire/codec.cc
@@ -117,12 +117,14 @@
     SetBody(
         Body::StreamOrigin,
         CreateStreamOrigin(b, CreateText(b, m.service), m.stream.Value(),
-                           CreateText(b, m.version), m.keep.count(), m.holder));
+                           CreateText(b, m.version), m.keep.count(), m.holder,
+                           static_cast<uint32_t>(m.owner.Value())));
   }
   void operator()(const burdockhill::StreamOriginQuery& m) {
     SetBody(Body::StreamOriginQuery,
             CreateStreamOriginQuery(b, m.id, CreateText(b, m.service),
-                                    m.stream.Value()));
+                                    m.stream.Value(),
+                                    static_cast<uint32_t>(m.owner.Value())));
   }
   void operator()(const burdockhill::StreamOriginAnswer& m) {
     SetBody(Body::StreamOriginAnswer,
@@ -388,12 +390,15 @@
   return burdockhill::StreamOrigin{ServiceName(ReadText(m.service())),
                                    RequestId(m.stream()),
                                    SoftwareVersion(ReadText(m.version())),
-                                   Duration(m.keep_us()), m.holder()};
+                                   Duration(m.keep_us()),
+                                   m.holder(),
+                                   StreamOwner(m.owner())};
 }
 
 std::optional<Message> Decode(const StreamOriginQuery& m) {
   return burdockhill::StreamOriginQuery{
-      m.id(), ServiceName(ReadText(m.service())), RequestId(m.stream())};
+      m.id(), ServiceName(ReadText(m.service())), RequestId(m.stream()),
+      StreamOwner(m.owner())};
 }
 
 std::optional<Message> Decode(const StreamOriginAnswer& m) {
--- a/emulation/stream_origins_fake.h
+++ b/emulation/stream_origins_fake.h
@@ -12,7 +12,7 @@
 namespace burdockhill::emulation {
 
 // Keeps the origins of streams in memory without an end, and answers searches
-// in Deliver.
+// in Deliver. What is known without an owner is known to all owners.
 class StreamOriginsFake : public StreamOrigins {
  public:
   struct Recorded {
@@ -39,7 +39,10 @@
     while (!is_silent && !searches.empty()) {
       const auto [id, search] = *searches.begin();
       searches.erase(id);
-      const auto found = known.find(search.first);
+      StreamKey without_owner = search.first;
+      without_owner.owner = StreamOwner();
+      auto found = known.find(search.first);
+      if (found == known.end()) found = known.find(without_owner);
       if (found == known.end()) {
         search.second->OnOriginUnknown(id, retry_after);
       } else {
--- a/tests/gateway_test_origin_replication.cc
+++ b/tests/gateway_test_origin_replication.cc
@@ -224,6 +224,25 @@
   CheckUnknown(1, Stream(1), /*may_return=*/false);
 }
 
+// Guards against holders that pass a stream on to another route or team.
+TEST(EntriesAsHolders, OwnersArePassedOnBetweenHolders) {
+  StreamKey one = Stream(1);
+  StreamKey two = Stream(1);
+  one.owner = StreamOwner(1);
+  two.owner = StreamOwner(2);
+  Origins(0).Record(one, kOne, kKeep);
+  DeliverMessages();
+  Run(seconds(1));
+  EndEntry(0);
+  EndAllAgents();
+  for (int i = 0; i < 8; ++i) StartAgent(i);
+  Run(kAgentStart);
+  for (int entry = 1; entry < 6; ++entry) {
+    CHECK(Search(entry, one).version == kOne);
+    CheckUnknown(entry, two, /*may_return=*/false);
+  }
+}
+
 TEST(EntriesAsHolders, ASecondVersionIsToldToTheEntries) {
   Record(0, 1, kOne);
   Run(seconds(1));
--- a/tests/gateway_test_software_versions.cc
+++ b/tests/gateway_test_software_versions.cc
@@ -371,6 +371,7 @@
         m_origins.records.back();
     CHECK(record.stream.service == ServiceName(service));
     CHECK(record.stream.attempt == HashRequestId("first"));
+    CHECK(record.stream.owner.IsValid());
     STRCMP_EQUAL("v1", record.version.Value().c_str());
     CHECK(record.keep > seconds(13));
     m_sockets.Fail(caller);
--- a/tests/gateway_test_take_ups.cc
+++ b/tests/gateway_test_take_ups.cc
@@ -163,8 +163,35 @@
   STRCMP_EQUAL("other", TakeUpAt("first").c_str());
 }
 
+// Guards against a stream that another route takes up whose requests have the
+// same id.
+TEST(TakeUpServices, AnotherRouteTakesUpNoStream) {
+  BeginStream("first", "llm");
+  const SocketId caller = TakeUp("/resume/x");
+  STRCMP_EQUAL("none", AddressOf(AwaitCall()).c_str());
+  STRCMP_CONTAINS("HTTP/1.1 503", m_sockets.DrainOutput(caller).c_str());
+  STRCMP_EQUAL("the version that began the stream is unknown",
+               m_log.last_text["reason"].c_str());
+}
+
+TEST(TakeUpServices, StreamsOfTwoTeamsAreDifferent) {
+  RoutedRequest routed;
+  routed.route = MakeSplit({{ServiceName("llm"), 1}});
+  routed.request.id = "a";
+  const ServiceName llm("llm");
+  std::set<StreamKey> keys;
+  for (const char* team : {"", "one", "two"}) {
+    routed.team = TeamName(team);
+    keys.insert(StreamKeyOf(routed, llm));
+  }
+  routed.route.name = RouteName("another");
+  keys.insert(StreamKeyOf(routed, llm));
+  LONGS_EQUAL(4, keys.size());
+  for (const StreamKey& key : keys) CHECK(key.owner.IsValid());
+}
+
 // A stream that an entry of the former software has recorded.
-TEST(TakeUpServices, AStreamOfAFormerEntryGoesOn) {
+TEST(TakeUpServices, AStreamWithoutAnOwnerGoesOn) {
   Know("other", "first", "v1");
   SetSplit(99, 1);
   STRCMP_EQUAL("other", TakeUpAt("first").c_str());
--- a/tests/routing_test_stream_origins.cc
+++ b/tests/routing_test_stream_origins.cc
@@ -122,3 +122,35 @@
   m_memory.Expire(m_clock.Now());
   LONGS_EQUAL(0, m_memory.Size());
 }
+
+TEST(StreamOriginMemory, TheSameAttemptOfAnotherOwnerIsAnotherStream) {
+  StreamKey one = Stream(1);
+  StreamKey two = Stream(1);
+  one.owner = StreamOwner(1);
+  two.owner = StreamOwner(2);
+  Record(one, kOne);
+  STRCMP_EQUAL("", Version(two).c_str());
+  Record(two, kTwo);
+  STRCMP_EQUAL("1.0", Version(one).c_str());
+  STRCMP_EQUAL("2.0", Version(two).c_str());
+  CHECK(m_memory.Contains(one));
+  CHECK_FALSE(m_memory.Contains(Stream(1)));
+}
+
+// Processes of the former software know no owners.
+TEST(StreamOriginMemory, RecordsAndQuestionsWithoutAnOwnerMatchEveryOwner) {
+  StreamKey one = Stream(1);
+  StreamKey two = Stream(1);
+  one.owner = StreamOwner(1);
+  two.owner = StreamOwner(2);
+  Record(Stream(1), kOne);
+  STRCMP_EQUAL("1.0", Version(one).c_str());
+  Record(one, kOne);
+  STRCMP_EQUAL("1.0", Version(Stream(1)).c_str());
+  Record(two, kTwo);
+  STRCMP_EQUAL("", Version(Stream(1)).c_str());
+  CHECK(m_memory.IsAmbiguous(Stream(1), m_clock.Now()));
+  STRCMP_EQUAL("", Version(two).c_str());
+  STRCMP_EQUAL("1.0", Version(one).c_str());
+  CHECK_FALSE(m_memory.IsAmbiguous(one, m_clock.Now()));
+}
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -145,8 +145,8 @@
   CHECK(DecodeMessages(
       EncodeMessages(std::vector<Message>{
           StreamOrigin{ServiceName("s"), RequestId(4), SoftwareVersion("1.0"),
-                       Duration(5), 2},
-          StreamOriginQuery{8, ServiceName("t"), RequestId(6)},
+                       Duration(5), 2, StreamOwner(6)},
+          StreamOriginQuery{8, ServiceName("t"), RequestId(6), StreamOwner(7)},
           StreamOriginAnswer{9, SoftwareVersion("2.0"), Duration(7)},
           StreamOriginAnswer{10, SoftwareVersion()}, MakeHello("vm", 1)}),
       &decoded));
@@ -156,10 +156,12 @@
   CHECK(origin.version == SoftwareVersion("1.0"));
   CHECK(origin.keep == Duration(5));
   LONGS_EQUAL(2, origin.holder);
+  CHECK(origin.owner == StreamOwner(6));
   const auto& query = std::get<StreamOriginQuery>(decoded.at(1));
   LONGS_EQUAL(8, query.id);
   CHECK(query.service == ServiceName("t"));
   CHECK(query.stream == RequestId(6));
+  CHECK(query.owner == StreamOwner(7));
   LONGS_EQUAL(9, std::get<StreamOriginAnswer>(decoded.at(2)).id);
   CHECK(std::get<StreamOriginAnswer>(decoded.at(2)).wait == Duration(7));
   CHECK(std::get<StreamOriginAnswer>(decoded.at(2)).version ==
