Soak: kills of all agents with an entry, and weights that change under streams

Two classes: kill-agents kills all agents and one entry at once, weights splits the streams that can be taken up between two services of engines and turns the split over with each configuration. Their engines' versions have names of their own, so that a stream joined from two services shows.

The checker excuses a take-up only if every daemon was killed since the stream began, no longer if all agents were: entries hold streams, too. With class kill-agents it does not excuse those while agents restart, either.

--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -270,21 +270,27 @@
     const auto serving =
         std::count_if(caller.serving_engines.begin(),
                       caller.serving_engines.end(), [&](int engine) {
-                        return !WasDisturbed(AgentName(engine), caller.sent_at,
+                        // The engines go on while their agents restart.
+                        return m_environment.Plays("kill-agents") ||
+                               !WasDisturbed(AgentName(engine), caller.sent_at,
                                              caller.ended_at);
                       });
-    if (serving >= 2 && !WereAllAgentsKilled(caller)) {
+    if (serving >= 2 && !WereAllDaemonsKilled(caller)) {
       m_taken_up_streams.Count(caller.origin, goes_on);
     }
   }
 
-  // Since the stream began: no process that outlives the entries has seen it.
-  bool WereAllAgentsKilled(const Caller& caller) {
+  // Since the stream began: no process is left that has seen it.
+  bool WereAllDaemonsKilled(const Caller& caller) {
     const TimePoint began = m_callers.Find(caller.origin)->sent_at;
+    const auto was_killed = [&](const std::string& name) {
+      return m_signals.Got(name, "KILL", began, caller.sent_at);
+    };
     for (int i = 0; i < m_environment.engines; ++i) {
-      if (!m_signals.Got(AgentName(i), "KILL", began, caller.sent_at)) {
-        return false;
-      }
+      if (!was_killed(AgentName(i))) return false;
+    }
+    for (int i = 0; i < m_environment.entries; ++i) {
+      if (!was_killed(EntryName(i))) return false;
     }
     return true;
   }
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -34,6 +34,7 @@
 constexpr uint64_t kMaxHeadsToCut = 4;
 constexpr int kMoreAttempts = 4;
 constexpr int64_t kFirstBorn = 1000;
+constexpr char kSecondService[] = "llm-2";
 constexpr int64_t kIdleLimitsMs[] = {2000, 6000, 3000, 2500, 8000};
 
 EngineRole RoleOf(int i) {
@@ -41,6 +42,24 @@
                                      : EngineRole::kDecode;
 }
 
+// With class weights, every other group of engines serves another service. Its
+// versions have names of their own, so that a stream of two services shows.
+bool IsOfSecondService(const Environment& environment, int i) {
+  return environment.Plays("weights") && i / kEnginesPerPrefill % 2 == 1;
+}
+
+std::string FirstVersionOf(const Environment& environment, int i) {
+  const int group = i / kEnginesPerPrefill / (environment.Plays("weights") + 1);
+  const bool is_second = environment.Plays("versions") && group % 2 == 1;
+  return std::string(IsOfSecondService(environment, i) ? "other-" : "") +
+         (is_second ? "v2" : "v1");
+}
+
+std::string OtherVersion(std::string version) {
+  version.back() = version.back() == '1' ? '2' : '1';
+  return version;
+}
+
 }  // namespace
 
 Upstreams::Upstreams(const Environment& environment)
@@ -77,6 +96,10 @@
   services.push_back({{"name", "llm"},
                       {"maxConns", 300},
                       {"engine", {{"slots", 64}, {"kvTokens", 100000}}}});
+  if (m_environment.Plays("weights")) {
+    services.push_back(services.back());
+    services.back()["name"] = kSecondService;
+  }
   services.push_back({{"name", "plain"}, {"maxConns", 300}});
   if (m_environment.Plays("endless")) {
     services.push_back({{"name", "steady"}, {"maxConns", 300}});
@@ -100,6 +123,13 @@
   add("/safe/", "safe", false, "plain");
   add("/stream/", "streaming", false, "llm");
   add("/resume/", "streaming", true, "llm");
+  if (m_environment.Plays("weights")) {
+    const int weight = m_version % 2 == 0 ? 95 : 5;
+    routes.back().erase("service");
+    routes.back()["trafficSplit"] = {
+        {{"service", "llm"}, {"weight", weight}},
+        {{"service", kSecondService}, {"weight", 100 - weight}}};
+  }
   add(NewestPath(), "safe", false, "plain");
   if (m_environment.Plays("endless")) add("/steady/", "safe", false, "steady");
   m_configuration = {
@@ -119,9 +149,7 @@
   options.address = target_address;
   options.role = RoleOf(i);
   options.name = "e" + std::to_string(i);
-  options.version =
-      m_environment.Plays("versions") && i / kEnginesPerPrefill % 2 == 1 ? "v2"
-                                                                         : "v1";
+  options.version = FirstVersionOf(m_environment, i);
   options.started_at_ms = kFirstBorn;
   Engine engine;
   engine.fake = std::make_unique<ModelRunnerFake>(
@@ -161,7 +189,8 @@
   const Engine& engine = m_engines[i];
   Register(
       engine.name,
-      {{"service", "llm"},
+      {{"service",
+        IsOfSecondService(m_environment, i) ? kSecondService : "llm"},
        {"address", EngineHost(i) + ":8080"},
        {"state", state},
        {"version", engine.fake->Version()},
@@ -205,8 +234,7 @@
     m_gone_names.push_back(engine.name);
     engine.name = "e" + std::to_string(i) + "-" + std::to_string(m_writes);
   }
-  engine.fake->Restart(engine.name,
-                       engine.fake->Version() == "v1" ? "v2" : "v1",
+  engine.fake->Restart(engine.name, OtherVersion(engine.fake->Version()),
                        kFirstBorn + m_writes + 1);
   m_proxies[i]->SetGone(false);
   engine.is_ready = true;
