Searches of origins order the processes once an iteration, not once a search

A mass of take-ups, as after all entries have ended, sorted all processes for each open search in each iteration in which one came up, and the usable agents were copied in each iteration of the event loop. Both are done now only when something has changed. gateway_test as before.

--- a/burdockhill/src/gateway/origin_holders.cc
+++ b/burdockhill/src/gateway/origin_holders.cc
@@ -3,7 +3,6 @@
 #include <optional>
 
 #include "burdockhill/src/base/address.h"
-#include "burdockhill/src/routing/holder_order.h"
 
 namespace burdockhill {
 
@@ -79,7 +78,7 @@
 void OriginHolders::DropEnded(TimePoint now) {
   std::erase_if(m_peers, [&](const auto& item) {
     const Peer& peer = item.second;
-    return !peer.registered && !IsUsableAgent(peer, now) &&
+    return !peer.registered && !peer.usable_run.IsValid() &&
            now - peer.heard_at > kAbsenceTimeout;
   });
 }
@@ -95,28 +94,41 @@
          now - peer.heard_at <= kAbsenceTimeout;
 }
 
-std::map<VmName, ReplicaPeer> OriginHolders::UsableAgents(TimePoint now) const {
+bool OriginHolders::UpdateUsableAgents(TimePoint now) {
+  bool changed = false;
+  for (auto& [vm, peer] : m_peers) {
+    const PeerRunId run = IsUsableAgent(peer, now) ? peer.run : PeerRunId();
+    changed = changed || peer.usable_run != run;
+    peer.usable_run = run;
+  }
+  return changed;
+}
+
+std::map<VmName, ReplicaPeer> OriginHolders::UsableAgents() const {
   std::map<VmName, ReplicaPeer> usable;
   for (const auto& [vm, peer] : m_peers) {
-    if (IsUsableAgent(peer, now)) {
-      usable.emplace(vm, ReplicaPeer{peer.run, peer.zone});
-    }
+    if (!peer.usable_run.IsValid()) continue;
+    usable.emplace(vm, ReplicaPeer{peer.usable_run, peer.zone});
   }
   return usable;
 }
 
-std::vector<VmName> OriginHolders::FindAsked(const StreamKey& stream,
-                                             TimePoint now) const {
-  HolderOrder agents;
-  HolderOrder entries;
+AskedProcesses OriginHolders::FindAsked(TimePoint now) const {
+  AskedProcesses asked;
   for (const auto& [vm, peer] : m_peers) {
     if (!IsAsked(peer, now)) continue;
-    (peer.role == Role::kAgent ? agents : entries).Add(vm, peer.zone);
+    HolderOrder& order =
+        peer.role == Role::kAgent ? asked.agents : asked.entries;
+    order.Add(vm, peer.zone);
   }
+  return asked;
+}
+
+std::vector<VmName> AskedProcesses::For(const StreamKey& stream) const {
   const uint64_t hash = HashStream(stream);
-  std::vector<VmName> asked = agents.First(hash, kAskedAgents);
-  const std::vector<VmName> asked_entries = entries.First(hash, kAskedEntries);
-  asked.insert(asked.end(), asked_entries.begin(), asked_entries.end());
+  std::vector<VmName> asked = agents.First(hash, kMaxAgents);
+  const std::vector<VmName> of_entries = entries.First(hash, kMaxEntries);
+  asked.insert(asked.end(), of_entries.begin(), of_entries.end());
   return asked;
 }
 
--- a/burdockhill/src/gateway/origin_holders.h
+++ b/burdockhill/src/gateway/origin_holders.h
@@ -9,19 +9,27 @@
 
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/peer/message.h"
+#include "burdockhill/src/routing/holder_order.h"
 #include "burdockhill/src/routing/origin_replicas.h"
 #include "burdockhill/src/routing/upstream_directory.h"
 
 namespace burdockhill {
 
+// The processes that searches ask.
+struct AskedProcesses {
+  HolderOrder agents;
+  HolderOrder entries;
+
+  // How many agents, and how many entries, one search asks.
+  static constexpr size_t kMaxAgents = 12;
+  static constexpr size_t kMaxEntries = 12;
+  std::vector<VmName> For(const StreamKey& stream) const;
+};
+
 // What an entry knows of the processes that may hold origins of streams: the
 // agents of model engines, and the entries that it is connected to.
 class OriginHolders {
  public:
-  // How many agents, and how many entries, a search asks.
-  static constexpr size_t kAskedAgents = 12;
-  static constexpr size_t kAskedEntries = 12;
-
   // Follows the registrations of engines.
   void SyncWithDirectory(const UpstreamDirectory& directory, TimePoint now);
   void OnPeerUp(const Hello& peer, TimePoint now);
@@ -30,10 +38,13 @@
   bool OnHeard(const VmName& vm, TimePoint now);
   void DropEnded(TimePoint now);
 
-  // Agents that can get streams to hold. Entries get theirs from agents.
-  std::map<VmName, ReplicaPeer> UsableAgents(TimePoint now) const;
-  // Processes that may know the stream and are there, or soon will be.
-  std::vector<VmName> FindAsked(const StreamKey& stream, TimePoint now) const;
+  // Whether others can get streams to hold than at the latest call.
+  bool UpdateUsableAgents(TimePoint now);
+  // Agents that could get streams to hold at the latest call of
+  // UpdateUsableAgents. Entries get theirs from agents.
+  std::map<VmName, ReplicaPeer> UsableAgents() const;
+  // Processes that may know streams and are there, or soon will be.
+  AskedProcesses FindAsked(TimePoint now) const;
   bool IsConnected(const VmName& vm) const;
   // Whether the process ended so recently that it may be restarting.
   bool MayRestart(const VmName& vm, TimePoint now) const;
@@ -44,6 +55,7 @@
   struct Peer {
     Role role = Role::kAgent;
     PeerRunId run;
+    PeerRunId usable_run;  // See UsableAgents.
     Incarnation incarnation;
     ZoneName zone;
     bool connected = false;
--- a/burdockhill/src/gateway/origin_searches.cc
+++ b/burdockhill/src/gateway/origin_searches.cc
@@ -43,14 +43,15 @@
     search.unknown_for = kRetryAfter;
   } else {
     search.stream = stream;
-    Ask(id, &search);
+    Ask(id, &search, m_holders->FindAsked(now));
   }
   return id;
 }
 
-void OriginSearches::Ask(OriginSearchId id, Search* search) {
+void OriginSearches::Ask(OriginSearchId id, Search* search,
+                         const AskedProcesses& processes) {
   const TimePoint now = m_board->clock->Now();
-  search->wanted = m_holders->FindAsked(search->stream, now);
+  search->wanted = processes.For(search->stream);
   for (const VmName& vm : search->wanted) {
     if (!m_holders->IsConnected(vm) || search->answered.contains(vm) ||
         !search->asked.insert(vm).second) {
@@ -94,11 +95,16 @@
 }
 
 void OriginSearches::Tick(bool holders_changed) {
+  if (m_searches.empty()) return;
+  AskedProcesses processes;
+  if (holders_changed) {
+    processes = m_holders->FindAsked(m_board->clock->Now());
+  }
   std::vector<OriginSearchId> ended;
   for (auto& [id, search] : m_searches) {
     const bool is_decided =
         !search.origins.empty() || search.unknown_for.has_value();
-    if (!is_decided && holders_changed) Ask(id, &search);
+    if (!is_decided && holders_changed) Ask(id, &search, processes);
     if (IsOver(search)) ended.push_back(id);
   }
   for (const OriginSearchId id : ended) {
--- a/burdockhill/src/gateway/origin_searches.h
+++ b/burdockhill/src/gateway/origin_searches.h
@@ -59,7 +59,7 @@
   };
 
   // Asks those that are connected and were not asked.
-  void Ask(OriginSearchId id, Search* search);
+  void Ask(OriginSearchId id, Search* search, const AskedProcesses& processes);
   // Whether all that may know the stream have answered.
   bool IsComplete(const Search& search) const;
   // Whether one that may know the stream is just starting.
--- a/burdockhill/src/gateway/replicated_stream_origins.cc
+++ b/burdockhill/src/gateway/replicated_stream_origins.cc
@@ -35,7 +35,9 @@
 void ReplicatedStreamOrigins::Tick() {
   const TimePoint now = m_board->clock->Now();
   m_holders.SyncWithDirectory(m_board->upstreams, now);
-  m_replicas.SetPeers(m_holders.UsableAgents(now));
+  if (m_holders.UpdateUsableAgents(now)) {
+    m_replicas.SetPeers(m_holders.UsableAgents());
+  }
   m_memory.Expire(now);
   SendCopies(m_replicas.TakeDue());
   if (now >= m_next_upkeep_at) {
--- a/tests/gateway_test_stream_origins.cc
+++ b/tests/gateway_test_stream_origins.cc
@@ -171,7 +171,7 @@
   for (int i = 8; i < 40; ++i) StartAgent(i);
   Run(kAgentStart);
   CheckUnknown(0, Stream(1), /*may_return=*/false);
-  LONGS_EQUAL(OriginHolders::kAskedAgents, m_queries_sent);
+  LONGS_EQUAL(AskedProcesses::kMaxAgents, m_queries_sent);
 }
 
 TEST(ReplicatedStreamOrigins, AFrozenAgentMayKnowTheStreamLater) {
