A response inside the head of another one is malformed

Cause: any text was accepted as the reason of a status and as the value of a field, so the cut refusal and the head of the sound answer were read as one refusal, with the request's id.

Evidence: JoinedAnswers puts each part of three refusals before the sound answer. On the former code the call is promised not to have run as soon as the part ends inside the status line, where no field is cut at all; so checking the value of X-Not-Executed would not have been enough. Ruled out: a late second copy of an earlier refusal, which the case does not send.

Why it works: where bytes end inside a head, the response that follows begins there with its status line. It stands in the reason or in a field's value then, and is looked for there; in the name of a field it was malformed before. The call counts as one that may have run.

Tests: gateway_test JoinedAnswers (plain calls failed before; streams did not), http_test JoinedHeads (2 of 3 failed before).

--- a/burdockhill/src/http/message_reader.cc
+++ b/burdockhill/src/http/message_reader.cc
@@ -31,6 +31,25 @@
          std::all_of(text.begin(), text.end(), IsTokenCharacter);
 }
 
+// Whether the text has the begin of a response in it: "HTTP/1.1 200", with any
+// digits.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kName = "HTTP/";
+  constexpr std::string_view kPattern = "0.0 000";  // 0 stands for any digit.
+  for (size_t at = text.find(kName); at != std::string_view::npos;
+       at = text.find(kName, at + 1)) {
+    const std::string_view rest =
+        text.substr(at + kName.size(), kPattern.size());
+    const bool matches = std::equal(
+        rest.begin(), rest.end(), kPattern.begin(), kPattern.end(),
+        [](char c, char pattern) {
+          return pattern == '0' ? c >= '0' && c <= '9' : c == pattern;
+        });
+    if (matches) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 struct MessageReader::State {
@@ -42,6 +61,7 @@
   size_t other_bytes = 0;
   size_t chunk_framing_bytes = 0;  // That the chunks so far may have.
   Head head;
+  std::string reason;       // Text of the status of a response.
   size_t field_memory = 0;  // Of the texts of all fields.
   std::string body;
   std::string field_name;
@@ -59,6 +79,7 @@
     parser.data = this;
     header_bytes = other_bytes = chunk_framing_bytes = 0;
     head = Head();
+    reason.clear();
     field_memory = 0;
     field_name.clear();
     field_value.clear();
@@ -112,6 +133,24 @@
     return content_lengths + transfer_encodings <= 1;
   }
 
+  // Whether a response begins inside the head of this one: bytes that belong to
+  // no request, and that end anywhere, precede the response to the request.
+  bool HoldsAnotherResponse() const {
+    if (kind != MessageKind::kResponse) return false;
+    const std::vector<Headers::Field>& fields = head.headers.Fields();
+    return ContainsStatusLine(reason) ||
+           std::any_of(fields.begin(), fields.end(),
+                       [](const Headers::Field& field) {
+                         return ContainsStatusLine(field.value);
+                       });
+  }
+
+  static int OnStatus(http_parser* parser, const char* at, size_t length) {
+    State* state = FromParser(parser);
+    state->reason.append(at, length);
+    return state->CountHeaderBytes(length);
+  }
+
   static int OnTarget(http_parser* parser, const char* at, size_t length) {
     State* state = FromParser(parser);
     state->head.target.append(at, length);
@@ -135,7 +174,9 @@
   static int OnHeadersComplete(http_parser* parser) {
     State* state = FromParser(parser);
     if (!state->FinishField()) return state->Fail(ReadError::kHeaderTooLarge);
-    if (!state->HasClearFraming()) return state->Fail(ReadError::kMalformed);
+    if (!state->HasClearFraming() || state->HoldsAnotherResponse()) {
+      return state->Fail(ReadError::kMalformed);
+    }
     Head& head = state->head;
     if (state->kind == MessageKind::kRequest) {
       head.method = http_method_str(static_cast<http_method>(parser->method));
@@ -171,6 +212,7 @@
         parser->status_code >= kFirstInformationalStatus &&
         parser->status_code < kFirstFinalStatus) {
       state->head = Head();
+      state->reason.clear();
       state->field_memory = 0;
       state->has_head = false;
       return 0;
@@ -185,6 +227,7 @@
       http_parser_settings result{};
       http_parser_settings_init(&result);
       result.on_url = &OnTarget;
+      result.on_status = &OnStatus;
       result.on_header_field = &OnField;
       result.on_header_value = &OnValue;
       result.on_headers_complete = &OnHeadersComplete;
@@ -265,8 +308,8 @@
   const State& state = *m_state;
   const size_t fields = state.head.headers.Fields().capacity();
   return AllocationBytes(fields * sizeof(Headers::Field)) + state.field_memory +
-         HeapBytes(state.head.target) + HeapBytes(state.field_name) +
-         HeapBytes(state.field_value);
+         HeapBytes(state.head.target) + HeapBytes(state.reason) +
+         HeapBytes(state.field_name) + HeapBytes(state.field_value);
 }
 Head MessageReader::TakeHead() {
   m_state->field_memory = 0;
