--- a/tests/gateway_test_take_ups.cc
+++ b/tests/gateway_test_take_ups.cc
@@ -69,7 +69,7 @@
     CHECK(m_gateway.IsIdle());
   }
   std::string ServiceAt(SocketId call) const {
-    const std::string address = AddressOf(call);
+    std::string address = AddressOf(call);
     if (address == "none") return address;
     return address == kPlainThree ? "other" : "llm";
   }
--- a/tests/routing_test_former_services.cc
+++ b/tests/routing_test_former_services.cc
@@ -75,6 +75,7 @@
   STRCMP_EQUAL("s6 s7 s8 s9 ", Former("r").c_str());
   // Routes that no configuration has any more are forgotten if there are many.
   std::vector<Route> routes;
+  routes.reserve(1100);
   for (int i = 0; i < 1100; ++i) {
     routes.push_back(MakeRoute("q" + std::to_string(i), {Weighted("s")}));
   }
