--- a/burdockhill/src/base/id.h
+++ b/burdockhill/src/base/id.h
@@ -58,8 +58,8 @@
 // Version of the software of an upstream. Versions have no order. The empty one
 // is unknown.
 using SoftwareVersion = NameId<struct SoftwareVersionTag>;
-// The route and the team of a stream, as one hash of 32 bits. Invalid where they
-// are not known.
+// The route and the team of a stream, as one hash of 32 bits. Invalid where
+// they are not known.
 using StreamOwner = NumericId<struct StreamOwnerTag>;
 // A part of a prompt that several prompts may begin with or contain.
 using PromptPartName = NameId<struct PromptPartNameTag>;
