A status line that is none is malformed, wherever it is read

On 000, 099, 99, 20, 2, 2 00, 600 and 999 reached the caller, 0200 and 00200 as a sealed 200, and so did answers of HTTP/0.0, 0.9, 2.0 and 3.7. A 0503 with X-Not-Executed counted as not run, and the unsafe call went to another upstream. 101 was skipped like an interim response.

Cause: http-parser accumulates the digits of a status and checks neither their number nor the range, and takes any major version of one digit; the reader took what it gave. The same reader serves calls, prefill and decode, event streams, reports, orders, the store and both clients.

Fix: MessageSyntax checks start lines before the library parses them. The call fails as one that may have run: 502 for an unsafe call, another upstream for a safe one. Server replaces a status that no final response has by a 502.

--- a/burdockhill/gateway.h
+++ b/burdockhill/gateway.h
@@ -16,11 +16,12 @@
 #include "burdockhill/src/gateway/origin_keeper.h"        // IWYU pragma: export
 #include "burdockhill/src/gateway/peer_relay.h"           // IWYU pragma: export
 #include "burdockhill/src/gateway/replicated_stream_origins.h"  // IWYU pragma: export
-#include "burdockhill/src/gateway/reservations.h"      // IWYU pragma: export
-#include "burdockhill/src/gateway/settings.h"          // IWYU pragma: export
-#include "burdockhill/src/gateway/stream_origins.h"    // IWYU pragma: export
-#include "burdockhill/src/gateway/take_up.h"           // IWYU pragma: export
-#include "burdockhill/src/gateway/team_admission.h"    // IWYU pragma: export
-#include "burdockhill/src/gateway/upstream_permits.h"  // IWYU pragma: export
+#include "burdockhill/src/gateway/reservations.h"       // IWYU pragma: export
+#include "burdockhill/src/gateway/response_reporter.h"  // IWYU pragma: export
+#include "burdockhill/src/gateway/settings.h"           // IWYU pragma: export
+#include "burdockhill/src/gateway/stream_origins.h"     // IWYU pragma: export
+#include "burdockhill/src/gateway/take_up.h"            // IWYU pragma: export
+#include "burdockhill/src/gateway/team_admission.h"     // IWYU pragma: export
+#include "burdockhill/src/gateway/upstream_permits.h"   // IWYU pragma: export
 
 #endif  // BURDOCKHILL_GATEWAY_H_
--- a/burdockhill/http.h
+++ b/burdockhill/http.h
@@ -11,6 +11,8 @@
 #include "burdockhill/src/http/http_server.h"         // IWYU pragma: export
 #include "burdockhill/src/http/message.h"             // IWYU pragma: export
 #include "burdockhill/src/http/message_reader.h"      // IWYU pragma: export
+#include "burdockhill/src/http/message_syntax.h"      // IWYU pragma: export
+#include "burdockhill/src/http/response_observer.h"   // IWYU pragma: export
 #include "burdockhill/src/http/server.h"              // IWYU pragma: export
 #include "burdockhill/src/http/sse_event_splitter.h"  // IWYU pragma: export
 
--- a/burdockhill/src/daemon/gateway_process.cc
+++ b/burdockhill/src/daemon/gateway_process.cc
@@ -159,6 +159,7 @@
   BufferReporter buffers(&context.loop.Buffers(), &context.log, &board.metrics);
   ConnectionReporter connections(&context.loop.Connections(), &context.log,
                                  &board.metrics);
+  const ResponseReporter responses(&context.pool, &context.log, &board.metrics);
 
   Reservations reservations({context.incarnation, settings.peer_port}, &board,
                             &context.peers);
@@ -262,6 +263,8 @@
                          /*metrics=*/nullptr);
   const ConnectionReporter connections(&context.loop.Connections(),
                                        &context.log, /*metrics=*/nullptr);
+  const ResponseReporter responses(&context.pool, &context.log,
+                                   /*metrics=*/nullptr);
   UpstreamDirectory directory;
   UpstreamDirectoryUpdater upstream_updater(&directory, &object_codec,
                                             &context.clock, &context.log);
--- a/burdockhill/src/daemon/process.cc
+++ b/burdockhill/src/daemon/process.cc
@@ -106,6 +106,29 @@
   std::string m_component;
 };
 
+// Logs the malformed responses that an HttpClient rejects.
+class ResponseLog : public http::ResponseObserver {
+ public:
+  ResponseLog(HttpClient* client, std::string component)
+      : m_client(client), m_component(std::move(component)) {
+    m_client->SetObserver(this);
+  }
+  ~ResponseLog() override { m_client->SetObserver(nullptr); }
+  ResponseLog(const ResponseLog&) = delete;
+  ResponseLog& operator=(const ResponseLog&) = delete;
+
+  void OnResponseRejected(const http::RejectedResponse& response) override {
+    LogWarning(m_component,
+               "Rejected the response of " + response.source + " to " +
+                   response.request + ": " +
+                   std::string(http::MalformationName(response.reason)) + ".");
+  }
+
+ private:
+  HttpClient* m_client;
+  std::string m_component;
+};
+
 // Runs the event loop until a stop was requested and either `core` is idle or
 // the drain limit has passed. Returns the exit code.
 template <typename Core>
@@ -170,6 +193,7 @@
   WatchStopSignals(&loop);
   PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
   HttpClient client(&loop);
+  const ResponseLog response_log(&client, "entry");
   PlatformClient platform(
       &client, *ParseAddress(settings.platform),
       [](const std::string& message) { LogWarning("store", message); });
@@ -205,6 +229,7 @@
   WatchStopSignals(&loop);
   PeerTransport peers(&loop, PeerOptions(settings, incarnation), &random);
   HttpClient client(&loop);
+  const ResponseLog response_log(&client, "agent");
   EngineClient engines(&client, settings);
   OperatorsApi operators;
   AgentIdentity self;
--- a/burdockhill/src/gateway/gateway.cc
+++ b/burdockhill/src/gateway/gateway.cc
@@ -97,6 +97,10 @@
                        {"reason", std::string("a request has arrived")}});
 }
 
+void Gateway::OnInvalidStatus(http::ExchangeId /*id*/, int status) {
+  m_board->log->Write("invalid_status", {{"status", int64_t{status}}});
+}
+
 bool Gateway::IsReady() const {
   return !m_board->leaving && m_board->routes.HasConfiguration() &&
          m_board->upstreams.HasList();
--- a/burdockhill/src/gateway/gateway.h
+++ b/burdockhill/src/gateway/gateway.h
@@ -40,6 +40,7 @@
   void OnCallerDisconnected(http::ExchangeId id) override;
   void OnOutputDrained(http::ExchangeId id) override;
   void OnIdleConnection(Duration idle_time, bool closed) override;
+  void OnInvalidStatus(http::ExchangeId id, int status) override;
 
   // Whether the load balancer should send callers here.
   bool IsReady() const;
--- a/burdockhill/src/http/connection_pool.cc
+++ b/burdockhill/src/http/connection_pool.cc
@@ -36,6 +36,12 @@
                              : kDefaultIdleTimeout;
 }
 
+// Method and target of a formatted request.
+std::string_view MethodAndTarget(std::string_view request) {
+  const std::string_view line = request.substr(0, request.find("\r\n"));
+  return line.substr(0, line.rfind(' '));
+}
+
 }  // namespace
 
 std::string_view DescribeFailure(CallFailure failure) {
@@ -55,10 +61,13 @@
 CallId ConnectionPool::Start(const std::string& address, std::string request,
                              CallEvents* events, const CallPolicy& policy) {
   const CallId id(++m_last_call_id);
+  std::string name = policy.response_id.empty()
+                         ? std::string(MethodAndTarget(request))
+                         : policy.response_id;
   SocketId socket = TakeIdleConnection(address, policy);
   if (socket.IsValid()) {
     BeginCall(m_connections.Find(socket), id, request, policy);
-    m_calls.FindOrInsert(id) = {socket, events, {}};
+    m_calls.FindOrInsert(id) = {socket, events, {}, std::move(name)};
     m_sockets->Write(socket, request);
     return id;
   }
@@ -77,7 +86,8 @@
   connection.idle_key = IdleKey(address, policy.lane);
   BeginCall(&connection, id, request, policy);
   connection.connect_deadline = m_clock->Now() + policy.connect_timeout;
-  m_calls.FindOrInsert(id) = {socket, events, std::move(request)};
+  m_calls.FindOrInsert(id) = {socket, events, std::move(request),
+                              std::move(name)};
   return id;
 }
 
@@ -188,14 +198,7 @@
     connection->has_response_bytes = true;
     const size_t consumed = connection->reader.Consume(bytes);
     bytes.remove_prefix(consumed);
-    if (connection->reader.Error() != ReadError::kNone) {
-      const bool too_large =
-          connection->reader.Error() == ReadError::kHeaderTooLarge;
-      if (too_large) ReportOverflow(*connection, kMaxResponseHeaderBytes);
-      DeliverResponse(id);
-      return Fail(id,
-                  too_large ? CallFailure::kTooLarge : CallFailure::kMalformed);
-    }
+    if (connection->reader.Error() != ReadError::kNone) return FailRead(id);
     if (!DeliverResponse(id)) return;
     connection = m_connections.Find(id);
     if (connection == nullptr) return;
@@ -217,6 +220,19 @@
   }
 }
 
+void ConnectionPool::FailRead(SocketId id) {
+  const Connection* connection = m_connections.Find(id);
+  const Malformation reason = connection->reader.Fault();
+  if (reason == Malformation::kNone) {
+    ReportOverflow(*connection, kMaxResponseHeaderBytes);
+  } else {
+    ReportMalformed(*connection, reason);
+  }
+  DeliverResponse(id);
+  Fail(id, reason == Malformation::kNone ? CallFailure::kTooLarge
+                                         : CallFailure::kMalformed);
+}
+
 bool ConnectionPool::DeliverResponse(SocketId id) {
   Connection* connection = m_connections.Find(id);
   if (connection == nullptr) return false;
@@ -262,6 +278,13 @@
        connection.answer_charge.Bytes() + connection.discarded_bytes, bound});
 }
 
+void ConnectionPool::ReportMalformed(const Connection& connection,
+                                     Malformation reason) {
+  const Call* call = m_calls.Find(connection.call);
+  if (m_observer == nullptr || call == nullptr) return;
+  m_observer->OnResponseRejected({connection.address, call->name, reason});
+}
+
 void ConnectionPool::OnBufferEvicted(BufferKey key) {
   Fail(SocketId(key.Value()), CallFailure::kTooLarge);
 }
@@ -299,6 +322,9 @@
   if (connection == nullptr) return;
   if (!connection->call.IsValid()) return Fail(id, CallFailure::kBroken);
   connection->reader.ConsumeEndOfInput();
+  if (connection->reader.Error() == ReadError::kMalformed) {
+    ReportMalformed(*connection, connection->reader.Fault());
+  }
   if (!DeliverResponse(id)) return;
   connection = m_connections.Find(id);
   if (connection == nullptr) return;
--- a/burdockhill/src/http/connection_pool.h
+++ b/burdockhill/src/http/connection_pool.h
@@ -9,6 +9,7 @@
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/table.h"
 #include "burdockhill/src/http/message_reader.h"
+#include "burdockhill/src/http/response_observer.h"
 #include "burdockhill/src/transport/sockets.h"
 
 namespace burdockhill::http {
@@ -79,6 +80,9 @@
   // The budget of the process, which responses are charged to.
   BufferBudget& Buffers() { return m_sockets->Buffers(); }
 
+  // `observer` may be nullptr.
+  void SetObserver(ResponseObserver* observer) { m_observer = observer; }
+
   // Sends the formatted `request` to `address` ("IP:port") on an idle or a new
   // connection. No callback is called before Start returns. Returns an invalid
   // id if `address` cannot be parsed or no socket can be created.
@@ -133,6 +137,7 @@
     SocketId socket;
     CallEvents* events = nullptr;
     std::string request;  // Empty once it was written to the socket.
+    std::string name;     // See RejectedResponse.
   };
 
   static constexpr size_t kMaxResponseHeaderBytes = size_t{64} << 10;
@@ -174,11 +179,15 @@
   // was closed meanwhile.
   bool DeliverBody(SocketId id, std::string_view body);
   void ReportOverflow(const Connection& connection, size_t bound);
+  // Fails the call whose response the reader rejects.
+  void FailRead(SocketId id);
+  void ReportMalformed(const Connection& connection, Malformation reason);
   void EndCall(SocketId id, bool reusable);
   void Fail(SocketId id, CallFailure failure);
 
   Sockets* m_sockets;
   const Clock* m_clock;
+  ResponseObserver* m_observer = nullptr;
   uint64_t m_last_call_id = 0;
   Table<SocketId, Connection> m_connections;
   Table<CallId, Call> m_calls;
--- a/burdockhill/src/http/http_client.cc
+++ b/burdockhill/src/http/http_client.cc
@@ -58,6 +58,8 @@
     for (const auto& [id, call] : m_calls) m_loop->CancelTimer(call.timer);
   }
 
+  void SetObserver(http::ResponseObserver* observer) { m_observer = observer; }
+
   ClientCallId Start(ClientRequest request, ClientEvents events) {
     const ClientCallId id(++m_last_call_id);
     Call& call = m_calls.FindOrInsert(id);
@@ -121,6 +123,15 @@
     Fail(id, CallEnd::kTooLarge);
   }
 
+  void FailMalformed(ClientCallId id, const Call& call) {
+    if (m_observer != nullptr) {
+      m_observer->OnResponseRejected(
+          {SourceName(call.request.address),
+           call.request.method + " " + call.request.path, call.reader.Fault()});
+    }
+    Fail(id);
+  }
+
   void OnBufferEvicted(BufferKey key) override {
     Fail(ClientCallId(key.Value()), CallEnd::kTooLarge);
   }
@@ -165,7 +176,9 @@
     if (call->reader.Error() == http::ReadError::kHeaderTooLarge) {
       return FailTooLarge(id, *call, kMaxResponseHeaderBytes);
     }
-    if (call->reader.Error() != http::ReadError::kNone) return Fail(id);
+    if (call->reader.Error() != http::ReadError::kNone) {
+      return FailMalformed(id, *call);
+    }
     if (!call->reader.IsComplete()) return;
     const auto events = Remove(id, /*reset=*/false);
     if (events->on_end) events->on_end(CallEnd::kComplete);
@@ -202,14 +215,16 @@
     Call* call = m_calls.Find(id);
     if (call == nullptr) return;
     call->reader.ConsumeEndOfInput();
-    if (!call->reader.IsComplete()) return Fail(id);
     Report(id);
+    // Nothing was received.
+    Fail(id);
   }
 
   void OnFailed(SocketId socket) override { Fail(CallIdOf(socket)); }
 
   EventLoop* m_loop;
   TcpSockets m_sockets;
+  http::ResponseObserver* m_observer = nullptr;
   uint64_t m_last_call_id = 0;
   Table<ClientCallId, Call> m_calls;
   Table<SocketId, ClientCallId> m_calls_by_socket;
@@ -220,6 +235,10 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::SetObserver(http::ResponseObserver* observer) {
+  m_impl->SetObserver(observer);
+}
+
 ClientCallId HttpClient::Start(ClientRequest request, ClientEvents events) {
   return m_impl->Start(std::move(request), std::move(events));
 }
--- a/burdockhill/src/http/http_client.h
+++ b/burdockhill/src/http/http_client.h
@@ -11,6 +11,7 @@
 #include "burdockhill/src/base/clock.h"
 #include "burdockhill/src/base/id.h"
 #include "burdockhill/src/http/message.h"
+#include "burdockhill/src/http/response_observer.h"
 
 namespace burdockhill {
 
@@ -65,6 +66,9 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  // `observer` may be nullptr.
+  void SetObserver(http::ResponseObserver* observer);
+
   // Starts a call. No callback is called before Start returns.
   ClientCallId Start(ClientRequest request, ClientEvents events);
 
--- a/burdockhill/src/http/message_reader.cc
+++ b/burdockhill/src/http/message_reader.cc
@@ -31,6 +31,24 @@
          std::all_of(text.begin(), text.end(), IsTokenCharacter);
 }
 
+// The reason for which the library rejects a message.
+Malformation MalformationOf(http_errno error) {
+  switch (error) {
+    case HPE_INVALID_VERSION:
+      return Malformation::kVersion;
+    case HPE_INVALID_STATUS:
+      return Malformation::kStatus;
+    case HPE_INVALID_HEADER_TOKEN:
+      return Malformation::kFieldName;
+    case HPE_INVALID_CONTENT_LENGTH:
+    case HPE_UNEXPECTED_CONTENT_LENGTH:
+    case HPE_INVALID_CHUNK_SIZE:
+      return Malformation::kFraming;
+    default:
+      return Malformation::kStartLine;
+  }
+}
+
 // Whether the text has the begin of a response in it: "HTTP/1.1 200", with any
 // digits.
 bool ContainsStatusLine(std::string_view text) {
@@ -72,8 +90,11 @@
   bool complete = false;
   bool expects_no_body = false;
   ReadError error = ReadError::kNone;
+  Malformation fault = Malformation::kNone;
+  MessageSyntax syntax{MessageKind::kRequest};
 
   void Init() {
+    syntax = MessageSyntax(kind);
     http_parser_init(
         &parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
@@ -108,6 +129,11 @@
     return -1;
   }
 
+  int FailMalformed(Malformation reason) {
+    fault = reason;
+    return Fail(ReadError::kMalformed);
+  }
+
   int CountHeaderBytes(size_t length) {
     header_bytes += length;
     return header_bytes > max_header_bytes ? Fail(ReadError::kHeaderTooLarge)
@@ -174,24 +200,31 @@
   static int OnHeadersComplete(http_parser* parser) {
     State* state = FromParser(parser);
     if (!state->FinishField()) return state->Fail(ReadError::kHeaderTooLarge);
-    if (!state->HasClearFraming() || state->HoldsAnotherResponse()) {
-      return state->Fail(ReadError::kMalformed);
+    if (parser->http_major != 1) {
+      return state->FailMalformed(Malformation::kVersion);
+    }
+    if (!state->HasClearFraming()) {
+      return state->FailMalformed(Malformation::kFraming);
+    }
+    if (state->HoldsAnotherResponse()) {
+      return state->FailMalformed(Malformation::kNestedResponse);
     }
     Head& head = state->head;
     if (state->kind == MessageKind::kRequest) {
       head.method = http_method_str(static_cast<http_method>(parser->method));
       if (head.target.empty() || head.target.front() != '/') {
-        return state->Fail(ReadError::kMalformed);
+        return state->FailMalformed(Malformation::kStartLine);
       }
     }
     head.status = parser->status_code;
     head.keep_alive = http_should_keep_alive(parser) != 0;
     head.chunked = (parser->flags & F_CHUNKED) != 0;
-    head.allows_interim = parser->http_major >= 1 && parser->http_minor >= 1;
+    head.allows_interim = parser->http_minor >= 1;
     if (const std::string* length = head.headers.Find("Content-Length")) {
       head.content_length = static_cast<uint64_t>(*ParseNumber(*length));
     }
     state->has_head = true;
+    state->syntax.BeginBody();
     return state->expects_no_body ? 1 : 0;
   }
 
@@ -215,6 +248,7 @@
       state->reason.clear();
       state->field_memory = 0;
       state->has_head = false;
+      state->syntax.BeginHead();
       return 0;
     }
     state->complete = true;
@@ -222,6 +256,9 @@
     return 0;
   }
 
+  // Returns how many bytes were consumed.
+  size_t Parse(std::string_view bytes);
+
   static const http_parser_settings& Settings() {
     static const http_parser_settings settings = [] {
       http_parser_settings result{};
@@ -251,29 +288,46 @@
 
 size_t MessageReader::Consume(std::string_view bytes) {
   State& state = *m_state;
-  if (state.complete || state.error != ReadError::kNone || bytes.empty()) {
-    return 0;
+  size_t consumed = 0;
+  while (consumed < bytes.size() && !state.complete &&
+         state.error == ReadError::kNone) {
+    state.started = true;
+    const std::string_view rest = bytes.substr(consumed);
+    const size_t checked = state.syntax.Check(rest);
+    if (checked > 0) consumed += state.Parse(rest.substr(0, checked));
+    if (state.complete || state.error != ReadError::kNone) break;
+    if (state.syntax.Fault() != Malformation::kNone) {
+      state.FailMalformed(state.syntax.Fault());
+    } else if (state.syntax.HasEndedHead()) {
+      // The library sees no end of the head there.
+      state.FailMalformed(Malformation::kFraming);
+    }
   }
-  state.started = true;
-  const size_t body_before = state.body.size();
-  const size_t consumed = http_parser_execute(&state.parser, &State::Settings(),
-                                              bytes.data(), bytes.size());
-  state.other_bytes += consumed - (state.body.size() - body_before);
-  const http_errno parser_error = HTTP_PARSER_ERRNO(&state.parser);
-  if (parser_error != HPE_OK && parser_error != HPE_PAUSED &&
+  if (state.parser.upgrade != 0 && !state.complete &&
       state.error == ReadError::kNone) {
-    state.error = parser_error == HPE_HEADER_OVERFLOW
-                      ? ReadError::kHeaderTooLarge
-                      : ReadError::kMalformed;
+    state.FailMalformed(Malformation::kFraming);
   }
-  if (state.parser.upgrade != 0 && !state.complete) {
-    state.error = ReadError::kMalformed;
+  return consumed;
+}
+
+size_t MessageReader::State::Parse(std::string_view bytes) {
+  const size_t body_before = body.size();
+  const size_t consumed =
+      http_parser_execute(&parser, &Settings(), bytes.data(), bytes.size());
+  other_bytes += consumed - (body.size() - body_before);
+  const http_errno parser_error = HTTP_PARSER_ERRNO(&parser);
+  if (parser_error != HPE_OK && parser_error != HPE_PAUSED &&
+      error == ReadError::kNone) {
+    if (parser_error == HPE_HEADER_OVERFLOW) {
+      Fail(ReadError::kHeaderTooLarge);
+    } else {
+      FailMalformed(MalformationOf(parser_error));
+    }
   }
   const size_t max_other_bytes =
-      kFramingPerHeaderByte * state.max_header_bytes +
-      state.chunk_framing_bytes;
-  if (state.error == ReadError::kNone && state.other_bytes > max_other_bytes) {
-    state.error = ReadError::kHeaderTooLarge;
+      kFramingPerHeaderByte * max_header_bytes + chunk_framing_bytes;
+  if (error == ReadError::kNone && other_bytes > max_other_bytes) {
+    Fail(ReadError::kHeaderTooLarge);
   }
   return consumed;
 }
@@ -284,7 +338,7 @@
     return;
   }
   http_parser_execute(&state.parser, &State::Settings(), nullptr, 0);
-  if (!state.complete) state.error = ReadError::kMalformed;
+  if (!state.complete) state.FailMalformed(Malformation::kEndedEarly);
 }
 
 void MessageReader::ExpectNoBody() { m_state->expects_no_body = true; }
@@ -303,6 +357,7 @@
 bool MessageReader::HasHead() const { return m_state->has_head; }
 bool MessageReader::IsComplete() const { return m_state->complete; }
 ReadError MessageReader::Error() const { return m_state->error; }
+Malformation MessageReader::Fault() const { return m_state->fault; }
 const Head& MessageReader::MessageHead() const { return m_state->head; }
 size_t MessageReader::HeadMemory() const {
   const State& state = *m_state;
--- a/burdockhill/src/http/message_reader.h
+++ b/burdockhill/src/http/message_reader.h
@@ -7,11 +7,10 @@
 #include <string_view>
 
 #include "burdockhill/src/http/message.h"
+#include "burdockhill/src/http/message_syntax.h"
 
 namespace burdockhill::http {
 
-enum class MessageKind { kRequest, kResponse };
-
 // Why a message was rejected. A header that is too large includes everything
 // that is neither body nor necessary: interim responses, chunk extensions and
 // trailers.
@@ -20,7 +19,8 @@
 // Incremental parser for the HTTP/1.1 messages of one connection; does no I/O.
 // Stricter than the library http-parser that it uses: as a protection against
 // request smuggling it rejects ambiguous framing (more than one Content-Length
-// or Transfer-Encoding, or both) and field names that are not tokens.
+// or Transfer-Encoding, or both) and field names that are not tokens. Malformed
+// are also versions other than HTTP/1.x and what MessageSyntax rejects.
 class MessageReader {
  public:
   MessageReader(MessageKind kind, size_t max_header_bytes);
@@ -49,6 +49,8 @@
   bool HasHead() const;
   bool IsComplete() const;
   ReadError Error() const;
+  // Why the message is malformed; kNone unless Error() is kMalformed.
+  Malformation Fault() const;
   const Head& MessageHead() const;
   // Memory of the head so far, in bytes, with what its allocations take.
   size_t HeadMemory() const;
--- /dev/null
+++ b/burdockhill/src/http/message_syntax.h
@@ -0,0 +1,89 @@
+#ifndef BURDOCKHILL_SRC_HTTP_MESSAGE_SYNTAX_H_
+#define BURDOCKHILL_SRC_HTTP_MESSAGE_SYNTAX_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace burdockhill::http {
+
+enum class MessageKind { kRequest, kResponse };
+
+// Why bytes are no HTTP/1.1 message.
+enum class Malformation {
+  kNone,
+  kStartLine,         // Not that of a request or a response.
+  kVersion,           // Not HTTP/1.x.
+  kStatus,            // Not three digits from 100 to 599, or 101.
+  kFieldName,         // Not a token that is followed by a colon at once.
+  kControlCharacter,  // In a start line or a field value; also a lone CR.
+  kFraming,           // The length of the body is ambiguous or unreadable.
+  kNestedResponse,    // A response begins inside the head of another one.
+  kEndedEarly,        // The input ended inside the message.
+};
+
+// Name for logs and metrics.
+std::string_view MalformationName(Malformation malformation);
+
+// Whether a message may have this status code: RFC 9110, section 15, defines
+// five classes of them.
+constexpr bool IsStatus(int status) {
+  constexpr int kMin = 100;
+  constexpr int kMax = 599;
+  return status >= kMin && status <= kMax;
+}
+
+// Checks what the library http-parser does not of the lines of a head (RFC
+// 9112, sections 2.2 and 4). The library takes any number of digits for a
+// status, and the character after a CR for an LF.
+//
+// As the standard allows, a bare LF ends a line, empty lines may precede a
+// message, and a status may have more than one space before it. None of these
+// are passed on.
+class MessageSyntax {
+ public:
+  explicit MessageSyntax(MessageKind kind) : m_kind(kind) {}
+
+  // Checks bytes of the message, at most up to the end of its head. Returns how
+  // many precede that end or a fault.
+  size_t Check(std::string_view bytes);
+  Malformation Fault() const { return m_fault; }
+  // Whether the head was checked to its end, and its body has not begun.
+  bool HasEndedHead() const { return m_state == State::kHeadEnd; }
+
+  void BeginHead() { *this = MessageSyntax(m_kind); }
+  void BeginBody() { m_state = State::kBody; }
+
+ private:
+  enum class State {
+    kBegin,
+    kVersion,
+    kStatus,
+    kStartLine,  // The rest of it.
+    kLineBegin,
+    kLine,
+    kHeadEnd,
+    kBody,
+  };
+
+  // The state after the character.
+  State Next(unsigned char c);
+  State NextInVersion(unsigned char c);
+  State NextInStatus(unsigned char c);
+  State NextAtLineBegin(unsigned char c);
+  State NextInText(unsigned char c);
+  // The state after the end of a line.
+  State AfterLine() const;
+  State Fail(Malformation fault);
+
+  MessageKind m_kind;
+  State m_state = State::kBegin;
+  Malformation m_fault = Malformation::kNone;
+  bool m_after_return = false;  // The last character was a CR.
+  size_t m_version_size = 0;    // Characters of the version so far.
+  int m_status = 0;
+  int m_status_digits = 0;
+};
+
+}  // namespace burdockhill::http
+
+#endif  // BURDOCKHILL_SRC_HTTP_MESSAGE_SYNTAX_H_
--- a/burdockhill/src/http/server.cc
+++ b/burdockhill/src/http/server.cc
@@ -196,6 +196,7 @@
   Connection* connection = FindConnection(id, &socket);
   if (connection == nullptr) return;
   if (connection->is_streaming) return Abort(id);
+  if (ReplaceInvalidHead(id, head)) return;
   const bool keep_alive = KeepsAlive(socket, *connection);
   std::string bytes = FormatResponse(head, body.size(),
                                      AnnounceKeepAlive(connection, keep_alive));
@@ -206,11 +207,21 @@
   FinishExchange(id, keep_alive);
 }
 
+bool Server::ReplaceInvalidHead(ExchangeId id, const Head& head) {
+  constexpr int kFirstFinalStatus = 200;
+  if (IsStatus(head.status) && head.status >= kFirstFinalStatus) return false;
+  m_events->OnInvalidStatus(id, head.status);
+  Head replacement;
+  replacement.status = kBadGateway;
+  Respond(id, replacement, {});
+  return true;
+}
+
 void Server::StartStream(ExchangeId id, const Head& head,
                          std::optional<size_t> body_size) {
   SocketId socket;
   Connection* connection = FindConnection(id, &socket);
-  if (connection == nullptr) return;
+  if (connection == nullptr || ReplaceInvalidHead(id, head)) return;
   const bool keep_alive = KeepsAlive(socket, *connection);
   connection->is_streaming = true;
   connection->is_chunked = !body_size.has_value();
--- a/burdockhill/src/http/server.h
+++ b/burdockhill/src/http/server.h
@@ -44,6 +44,9 @@
   // The time limit of a connection without a request is over, or a planned stop
   // closes those. It is closed, unless input has arrived that is not read yet.
   virtual void OnIdleConnection(Duration /*idle_time*/, bool /*closed*/) {}
+  // The response has a status that no final response can have. The caller got
+  // a 502 instead.
+  virtual void OnInvalidStatus(ExchangeId /*id*/, int /*status*/) {}
 };
 
 // HTTP/1.1 server for callers. Requests that are malformed, too large or too
@@ -84,7 +87,8 @@
 
   // Sends a response with a complete body. Aborts an exchange whose response
   // has started as a stream, since the caller would find the head inside the
-  // body.
+  // body. A status below 200 or above 599 is replaced by an empty 502, here and
+  // in StartStream.
   void Respond(ExchangeId id, const Head& head, std::string_view body);
   // Starts a response whose body follows in parts: in chunks, or with this
   // Content-Length, which the parts must add up to before EndStream.
@@ -171,6 +175,9 @@
   ConnectionNotice AnnounceKeepAlive(Connection* connection,
                                      bool keep_alive) const;
   void DispatchRequest(SocketId id, Connection* connection);
+  // Responds with 502 in place of a head that has no status of a final
+  // response. Returns false if it has one.
+  bool ReplaceInvalidHead(ExchangeId id, const Head& head);
   void Reject(SocketId id, int status);
   // Whether the rest of a request has arrived and is still to be read, although
   // its time limit is over.
--- a/tests/adapters_test_cut_heads.cc
+++ b/tests/adapters_test_cut_heads.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "burdockhill/adapters.h"
+#include "tests/engine_outcome.h"
 #include "tests/free_port.h"
 #include "tests/raw_server.h"
 
@@ -17,33 +18,6 @@
 
 constexpr char kHead[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
 
-// Records whether a call succeeded or failed.
-struct OutcomeRecorder : EngineEvents {
-  void OnPrefillDone(const AttemptId&, const std::string&, const std::string&,
-                     Tokens, Tokens) override {
-    succeeded = true;
-  }
-  void OnTokens(const AttemptId&, uint64_t, uint32_t, const std::string&,
-                const std::string&) override {}
-  void OnCommandFailed(const AttemptId&, ErrorKind, bool ran) override {
-    failed = true;
-    may_have_run = ran;
-  }
-  void OnCancelConfirmed(const AttemptId&) override { succeeded = true; }
-  void OnCallAnswered(const AttemptId&, int, const std::string&,
-                      const std::string&) override {
-    succeeded = true;
-  }
-  void OnEngineState(const EngineName&,
-                     const std::optional<EngineState>& state) override {
-    (state.has_value() ? succeeded : failed) = true;
-  }
-
-  bool succeeded = false;
-  bool failed = false;
-  bool may_have_run = false;
-};
-
 }  // namespace
 
 TEST_GROUP(CutAnswers) {
--- a/tests/gateway_test_peers.cc
+++ b/tests/gateway_test_peers.cc
@@ -318,6 +318,29 @@
                                     wait,
                                     milliseconds(500)});
   }
+  // Lets the time pass until the engine has got an order.
+  SocketId RunToOrder() {
+    // One of the three has to prefill, the first by name.
+    for (const char* address : {"10.0.2.3:80", "10.0.2.4:80"}) {
+      RegisteredUpstream other = MakeUpstream(address, "llm", address);
+      other.name = UpstreamName(std::string("f-") + address);
+      other.role = EngineRole::kDecode;
+      m_directory.ApplyUpdate(other);
+    }
+    for (int i = 0; i < 1000; ++i) {
+      m_clock.Advance(milliseconds(10));
+      m_agent.Tick();
+      for (const SocketId id : m_sockets.OpenTo(kDecodeOne)) {
+        if (!m_sockets.GetConnection(id).connected) {
+          m_sockets.CompleteConnect(id);
+        }
+        const std::string request = m_sockets.DrainOutput(id);
+        if (request.starts_with("POST")) return id;
+        if (request.starts_with("GET")) m_sockets.Inject(id, Report(""));
+      }
+    }
+    return SocketId();
+  }
   template <typename T>
   size_t CountSent() const {
     return static_cast<size_t>(std::count_if(
@@ -375,27 +398,22 @@
 // Guards against a late copy of an engine's report that is taken for the answer
 // to an order, and the other way round.
 TEST(EngineAgent, OrdersDoNotShareTheConnectionOfReports) {
-  // One of the three has to prefill, the first by name.
-  for (const char* address : {"10.0.2.3:80", "10.0.2.4:80"}) {
-    RegisteredUpstream other = MakeUpstream(address, "llm", address);
-    other.name = UpstreamName(std::string("f-") + address);
-    other.role = EngineRole::kDecode;
-    m_directory.ApplyUpdate(other);
-  }
   const SocketId reports = m_sockets.OpenTo(kDecodeOne).front();
-  SocketId order;
-  for (int i = 0; i < 1000 && !order.IsValid(); ++i) {
-    m_clock.Advance(milliseconds(10));
-    m_agent.Tick();
-    for (const SocketId id : m_sockets.OpenTo(kDecodeOne)) {
-      if (!m_sockets.GetConnection(id).connected) m_sockets.CompleteConnect(id);
-      const std::string request = m_sockets.DrainOutput(id);
-      if (request.starts_with("POST")) order = id;
-      if (request.starts_with("GET")) m_sockets.Inject(id, Report(""));
-    }
-  }
+  const SocketId order = RunToOrder();
   CHECK(order.IsValid());
   CHECK(order != reports);
   m_agent.Tick();
   LONGS_EQUAL(0, m_log.Count("order_ended"));
 }
+
+// Guards against a malformed answer that counts as the engine's consent.
+TEST(EngineAgent, AnOrderWhoseAnswerIsMalformedHasNoStatus) {
+  ResponseReporter reporter(&m_pool, &m_log, /*metrics=*/nullptr);
+  m_sockets.Inject(RunToOrder(),
+                   "HTTP/1.1 0202 X\r\nContent-Length: 0\r\n\r\n");
+  STRCMP_EQUAL("POST /-/order", m_log.last_text["request"].c_str());
+  STRCMP_EQUAL("status", m_log.last_text["reason"].c_str());
+  m_agent.Tick();
+  LONGS_EQUAL(1, m_log.Count("order_ended"));
+  LONGS_EQUAL(0, m_log.last_number["status"]);
+}
--- /dev/null
+++ b/tests/http_test_message_syntax.cc
@@ -0,0 +1,145 @@
+// Module http: heads that are no valid messages, and odd ones that are.
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "burdockhill/http.h"
+#include "emulation/sockets_fake.h"
+#include "tests/malformed_heads.h"
+
+using namespace burdockhill;        // NOLINT(google-build-using-namespace)
+using namespace burdockhill::http;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr size_t kMaxHeaderBytes = 4096;
+constexpr char kCallers[] = "10.0.0.1:80";
+constexpr char kLength[] = "Content-Length: 2\r\n";
+
+// Why the message is malformed when it arrives in pieces of this size.
+Malformation FaultOf(MessageKind kind, const std::string& bytes, size_t step) {
+  MessageReader reader(kind, kMaxHeaderBytes);
+  for (size_t at = 0; at < bytes.size(); at += step) {
+    reader.Consume(bytes.substr(at, step));
+  }
+  CHECK_TEXT((reader.Error() == ReadError::kMalformed) ==
+                 (reader.Fault() != Malformation::kNone),
+             bytes.c_str());
+  return reader.Fault();
+}
+
+void CheckFault(MessageKind kind, Malformation expected,
+                const std::string& bytes) {
+  for (const size_t step : {bytes.size(), size_t{1}, size_t{2}, size_t{7}}) {
+    STRCMP_EQUAL_TEXT(
+        std::string(MalformationName(expected)).c_str(),
+        std::string(MalformationName(FaultOf(kind, bytes, step))).c_str(),
+        bytes.c_str());
+  }
+}
+
+void CheckWhole(MessageKind kind, const std::string& bytes) {
+  for (const size_t step : {bytes.size(), size_t{1}, size_t{2}, size_t{7}}) {
+    MessageReader reader(kind, kMaxHeaderBytes);
+    for (size_t at = 0; at < bytes.size(); at += step) {
+      reader.Consume(bytes.substr(at, step));
+    }
+    CHECK_TEXT(reader.IsComplete(), bytes.c_str());
+  }
+}
+
+// Responds to each request with a status.
+class StatusHandler : public ServerEvents {
+ public:
+  void OnRequest(ExchangeId id, Head, std::string) override {
+    Head head;
+    head.status = status;
+    head.headers.Add("X-Response-Seal", "s");
+    if (!streams) return server->Respond(id, head, "body");
+    server->StartStream(id, head);
+    server->WriteStream(id, "body");
+    server->EndStream(id);
+  }
+  void OnCallerDisconnected(ExchangeId) override {}
+  void OnInvalidStatus(ExchangeId, int invalid) override {
+    invalid_statuses.push_back(invalid);
+  }
+
+  Server* server = nullptr;
+  int status = 0;
+  bool streams = false;
+  std::vector<int> invalid_statuses;
+};
+
+}  // namespace
+
+TEST_GROUP(MessageSyntax){};
+
+// Guards against a response with status 000, 0200 or 999 that is passed on.
+TEST(MessageSyntax, StatusLinesAreHeldToTheirGrammar) {
+  for (const MalformedHead& head : MalformedHeads(kLength)) {
+    CheckFault(MessageKind::kResponse, head.reason, head.text + "ok");
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    CheckFault(MessageKind::kResponse, head.reason, interim + head.text + "ok");
+  }
+}
+
+TEST(MessageSyntax, OddStatusLinesAreAllowed) {
+  for (const char* line :
+       {"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 599 x", "HTTP/1.9 204 x",
+        "HTTP/1.1  200 OK", "\r\n\r\nHTTP/1.1 200 OK", "HTTP/1.1 299 a\tb",
+        "HTTP/1.1 200 gr\xc3\xbc\xc3\x9f"}) {
+    for (const char* end : {"\r\n", "\n"}) {
+      CheckWhole(MessageKind::kResponse,
+                 std::string(line) + end + kLength + end + "ok");
+    }
+  }
+}
+
+TEST(MessageSyntax, RequestsOfOtherVersionsAreMalformed) {
+  const auto request = [](const char* line) {
+    return std::string(line) + "\r\nHost: h\r\n\r\n";
+  };
+  for (const char* line : {"GET /x HTTP/2.0", "GET /x HTTP/0.9",
+                           "GET /x HTTP/11.1", "GET /x", "GET /x HTTP/3.1"}) {
+    CheckFault(MessageKind::kRequest, Malformation::kVersion, request(line));
+  }
+  for (const char* line : {"GET /x\ty HTTP/1.1", "GET /x\fy HTTP/1.1",
+                           "GET /x\x7fy HTTP/1.1", "GET /x HTTP/1.1\rx"}) {
+    CheckFault(MessageKind::kRequest, Malformation::kControlCharacter,
+               request(line));
+  }
+  for (const char* line :
+       {"GET /x HTTP/1.1", "GET /x HTTP/1.0", "\r\nGET /x HTTP/1.1"}) {
+    CheckWhole(MessageKind::kRequest, request(line));
+  }
+}
+
+// Guards against a status that is written whatever it is, wherever it comes
+// from.
+TEST(MessageSyntax, ServersReplaceStatusesOfNoFinalResponse) {
+  emulation::SocketsFake sockets;
+  const ManualClock clock;
+  StatusHandler handler;
+  Server server(&sockets, &clock, &handler);
+  handler.server = &server;
+  server.Listen(*ParseAddress(kCallers));
+  const SocketId caller = sockets.ConnectAsCaller(kCallers);
+  for (const int status : {0, -1, 2, 20, 99, 100, 101, 199, 600, 999, 2000}) {
+    handler.status = status;
+    for (const bool streams : {false, true}) {
+      handler.streams = streams;
+      sockets.Inject(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      const std::string output = sockets.DrainOutput(caller);
+      STRCMP_CONTAINS("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n",
+                      output.c_str());
+      CHECK(output.find("body") == std::string::npos);
+      LONGS_EQUAL(status, handler.invalid_statuses.back());
+    }
+  }
+  handler.status = 599;
+  sockets.Inject(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 599 ", sockets.DrainOutput(caller).c_str());
+}
