Responses with a status of 1xx, 204 or 304 have no body

What callers saw: a runner that sent a 103 with a length and a body before its answer had both bodies passed on as one, in a sealed 200. A 204 with a body was passed on with it, and a 304 that states a length was never complete.

Bytes of an interim response stayed in the reader.

Found while all places were checked where answers are read.

Fix: the reader ends these responses with their heads. What follows an interim response is the next head, or malformed.

--- a/burdockhill/src/http/message_reader.cc
+++ b/burdockhill/src/http/message_reader.cc
@@ -11,8 +11,9 @@
 
 namespace {
 
-constexpr int kFirstInformationalStatus = 100;
-constexpr int kFirstFinalStatus = 200;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kNoContentStatus = 204;
+constexpr unsigned kNotModifiedStatus = 304;
 // Each field takes memory beside its text.
 constexpr size_t kMaxFields = 512;
 // Bytes that frame one chunk: its size, two line ends, and a short extension.
@@ -20,6 +21,13 @@
 // A header of short fields has more bytes of framing than of text.
 constexpr size_t kFramingPerHeaderByte = 4;
 
+// Whether a response has no body, whatever its fields say (RFC 9112, section
+// 6.3). The library reads as many bytes as they say.
+bool NeverHasBody(unsigned status) {
+  return status < kFirstFinalStatus || status == kNoContentStatus ||
+         status == kNotModifiedStatus;
+}
+
 // The reason for which the library rejects a message.
 Malformation MalformationOf(http_errno error) {
   switch (error) {
@@ -213,7 +221,9 @@
     }
     state->has_head = true;
     state->syntax.BeginBody();
-    return state->expects_no_body ? 1 : 0;
+    const bool has_no_body = state->kind == MessageKind::kResponse &&
+                             NeverHasBody(parser->status_code);
+    return state->expects_no_body || has_no_body ? 1 : 0;
   }
 
   static int OnChunkHeader(http_parser* parser) {
@@ -230,7 +240,6 @@
     State* state = FromParser(parser);
     // Interim (1xx) responses precede the final response and are skipped.
     if (state->kind == MessageKind::kResponse &&
-        parser->status_code >= kFirstInformationalStatus &&
         parser->status_code < kFirstFinalStatus) {
       state->head = Head();
       state->reason.clear();
--- a/tests/gateway_test_malformed_answers.cc
+++ b/tests/gateway_test_malformed_answers.cc
@@ -149,6 +149,36 @@
   }
 }
 
+// Guards against a body of an interim response that precedes that of the final
+// one.
+TEST(MalformedAnswers, ABodyOfAnInterimResponseIsNoneOfTheAnswer) {
+  const std::string fields = "X-Request-Id: r1\r\nX-Response-Seal: seal\r\n";
+  const std::string answer = HttpResponse(200, fields, kBody);
+  for (const char* interim :
+       {"Content-Length: 3\r\n\r\nabc",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
+    MalformedFixture entry;
+    const SocketId caller = entry.Post("/once/x");
+    entry.m_sockets.Inject(
+        entry.EstablishPlain(),
+        "HTTP/1.1 103 Early Hints\r\n" + fields + interim + answer);
+    entry.CheckNoSuccess(caller, interim);
+  }
+}
+
+// Guards against bytes on a caller's connection that belong to no response.
+TEST(MalformedAnswers, ABodyOfAResponseThatHasNoneIsNotPassedOn) {
+  MalformedFixture entry;
+  const SocketId caller = entry.Post("/once/x");
+  const SocketId upstream = entry.EstablishPlain();
+  entry.m_sockets.Inject(upstream,
+                         HttpResponse(204, "X-Request-Id: r1\r\n", "abc"));
+  const std::string output = entry.m_sockets.DrainOutput(caller);
+  CHECK(output.starts_with("HTTP/1.1 204 "));
+  CHECK(output.ends_with("\r\n\r\n"));
+  CHECK(!entry.m_sockets.GetConnection(upstream).open);
+}
+
 TEST(MalformedAnswers, EventStreamsDoNotBegin) {
   const std::string type = "Content-Type: text/event-stream\r\n";
   for (const MalformedHead& answer : MalformedAnswers(type, kEvents)) {
--- a/tests/http_test_message_syntax.cc
+++ b/tests/http_test_message_syntax.cc
@@ -181,6 +181,29 @@
   }
 }
 
+// Guards against a body of an interim response that is read as a part of the
+// final one, and against a 304 whose end is awaited in vain.
+TEST(MessageSyntax, ResponsesThatNeverHaveABodyEndWithTheirHead) {
+  for (const char* framing :
+       {"Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string fields = std::string(framing) + "\r\n";
+    for (const char* status : {"204", "304"}) {
+      const std::string head =
+          std::string("HTTP/1.1 ") + status + " X\r\n" + fields;
+      MessageReader reader(MessageKind::kResponse, kMaxHeaderBytes);
+      LONGS_EQUAL(head.size(), reader.Consume(head + "abc"));
+      CHECK_TEXT(reader.IsComplete(), head.c_str());
+      STRCMP_EQUAL("", reader.Body().c_str());
+    }
+    const std::string interim = "HTTP/1.1 103 X\r\n" + fields;
+    const std::string final_response =
+        std::string("HTTP/1.1 200 OK\r\n") + kLength + "\r\nok";
+    CheckWhole(MessageKind::kResponse, interim + final_response);
+    CheckFault(MessageKind::kResponse, Malformation::kStartLine,
+               interim + "abc" + final_response);
+  }
+}
+
 // Guards against a status that is written whatever it is, wherever it comes
 // from.
 TEST(MessageSyntax, ServersReplaceStatusesOfNoFinalResponse) {
