A lone CR before a message is malformed; properties of the parser

What callers saw: nothing was reported. A generated response with a CR alone before its status line was read as a whole one: bytes that belong to no line.

Cause: http-parser skips any CR and LF before a message, and MessageSyntax did the same. A lone CR is malformed everywhere else in a head.

Fix: a CR before a message has to be followed by an LF.

--- a/burdockhill/src/http/message_syntax.cc
+++ b/burdockhill/src/http/message_syntax.cc
@@ -81,7 +81,8 @@
   }
   switch (m_state) {
     case State::kBegin:
-      if (c == '\r' || c == '\n') return State::kBegin;
+      m_after_return = c == '\r';
+      if (m_after_return || c == '\n') return State::kBegin;
       if (m_kind == MessageKind::kResponse) return NextInVersion(c);
       return NextInText(c);
     case State::kVersion:
@@ -193,6 +194,8 @@
 
 MessageSyntax::State MessageSyntax::AfterLine() {
   switch (m_state) {
+    case State::kBegin:
+      return State::kBegin;
     case State::kLineBegin:
       return State::kHeadEnd;
     case State::kChunkSize:
--- a/tests/malformed_heads.h
+++ b/tests/malformed_heads.h
@@ -37,6 +37,8 @@
     lines.push_back({http::Malformation::kControlCharacter,
                      "HTTP/1.1 200 " + std::string(reason) + "\r\n"});
   }
+  lines.push_back(
+      {http::Malformation::kControlCharacter, "\rHTTP/1.1 200 X\r\n"});
   return lines;
 }
 
