Soak: malformed and early answers, none of which reaches a caller

Class malformed: the proxies replace status lines, insert fields that are none, put a body before an answer, and answer uploads of 1 to 3 MB before they were read. Each carries a mark; the checker reports the mark and what is no HTTP.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <utility>
 
+#include "soak/malformed.h"
+
 namespace burdockhill::soak {
 
 namespace {
@@ -16,6 +18,9 @@
 constexpr size_t kLargeAnswerBytes = 7'000'000;
 constexpr Duration kReadingPauseStart = std::chrono::milliseconds(45);
 constexpr uint64_t kMaxReadingPauseMs = 2000;
+constexpr uint64_t kRequestsPerUpload = 6;  // With class malformed.
+constexpr size_t kMinUploadBytes = 1'000'000;
+constexpr uint64_t kMaxMoreUploadBytes = 2'000'000;
 constexpr uint64_t kRequestsPerCancelled = 12;
 // Streams that are taken up.
 constexpr uint64_t kStreamsPerBroken = 4;
@@ -45,6 +50,7 @@
   const std::string* name = head.headers.Find("X-Request-Id");
   id_matches = name != nullptr && *name == id;
   sealed = head.headers.Find("X-Response-Seal") != nullptr;
+  is_malformed = head.headers.Find(kMalformedMark) != nullptr;
   const std::string* seconds = head.headers.Find("Retry-After");
   if (seconds != nullptr) {
     retry_after = std::chrono::duration_cast<Duration>(
@@ -61,6 +67,7 @@
 void Caller::OnCallFailed(http::CallId /*call*/, http::CallFailure reason) {
   failed = true;
   was_sent = reason != http::CallFailure::kNotSent;
+  is_malformed = is_malformed || reason == http::CallFailure::kMalformed;
   ended_at = m_clock->Now();
 }
 
@@ -162,6 +169,11 @@
       caller->IsPlain() && lane.empty() &&
       Choose(caller->id + " large", kRequestsPerLargeAnswer) == 0;
   if (is_large) caller->answer_padding = kLargeAnswerBytes;
+  if (caller->IsPlain() && m_environment.Plays("malformed") &&
+      Choose(caller->id + " upload", kRequestsPerUpload) == 0) {
+    caller->upload_padding =
+        kMinUploadBytes + Choose(caller->id + " size", kMaxMoreUploadBytes);
+  }
   Send(std::move(caller), kPaths[static_cast<int>(kind)], lane);
 }
 
@@ -190,13 +202,15 @@
                  "\r\nResumes: " + caller.origin;
   }
   const Duration left = caller.deadline - caller.sent_at;
+  const std::string body = caller.RequestBody();
   return "POST " + path +
          "x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + caller.id +
          "\r\nX-Token-Counts: 3000,2000\r\nX-Length-Hint: 1200"
          "\r\nX-True-Length: 1220\r\nX-Deadline-Ms: " +
          std::to_string(left.count() / 1000) + resumption +
          "\r\nX-Answer-Bytes: " + std::to_string(caller.answer_padding) +
-         "\r\nContent-Length: 2\r\n\r\nhi";
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 IdleCallers::Request Callers::NextIdleRequest(int entry, bool on_kept) {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -47,6 +47,10 @@
   void OnCallFailed(http::CallId call, http::CallFailure reason) override;
 
   Events ReadEvents() const;
+  // Of the request.
+  std::string RequestBody() const {
+    return "hi" + std::string(upload_padding, 'u');
+  }
   bool HasEnded() const { return ended || failed || cancelled; }
   bool IsWhole() const { return ended && status == http::kOk; }
   bool IsPlain() const {
@@ -69,8 +73,10 @@
   bool is_broken_off = false;
   bool on_kept_connection = false;  // Of IdleCallers.
   bool is_after_faults = false;     // Sent after all faults have ended.
-  bool is_steady = false;  // On the route that always has a sound upstream.
+  bool is_steady = false;     // On the route that always has a sound upstream.
+  bool is_malformed = false;  // By the mark, or as no HTTP.
   size_t answer_padding = 0;
+  size_t upload_padding = 0;
   std::string body;
   Duration retry_after{0};
   TimePoint sent_at;
--- a/soak/checks.cc
+++ b/soak/checks.cc
@@ -110,6 +110,7 @@
               << counts.endless << " times without end (" << m_steady_seconds
               << " seconds of steady callers), at most " << m_memory.WorstMb()
               << " MB, " << m_upstreams->CutHeadCount() << " cut heads, "
+              << m_upstreams->MalformedCount() << " malformed answers, "
               << m_take_ups << " take-ups (" << m_taken_up_streams.Text()
               << " undisturbed streams went on; " << m_new_streams.Text()
               << " new ones began), " << m_late_answers << " of "
@@ -159,6 +160,7 @@
                               caller.kind == CallKind::kStream;
     if (at_most_once && runs > 1) Report(caller, "executed more than once");
     if (caller.status == http::kOk && !caller.IsPlain()) CheckStream(caller);
+    if (caller.is_malformed) Report(caller, "got a malformed answer");
     if (caller.cancelled) return;
     if (m_signals.Last(EntryName(caller.entry), caller.sent_at) == "TERM") {
       ++m_late_requests;
@@ -186,7 +188,8 @@
   void CheckSuccess(const Caller& caller) {
     ++m_served_count;
     if (!caller.id_matches || !caller.sealed) Report(caller, "wrong id/seal");
-    const std::string body = "answer to " + caller.id + " hi" +
+    const std::string body = "answer to " + caller.id + " " +
+                             caller.RequestBody() +
                              std::string(caller.answer_padding, 'x');
     if (caller.IsPlain() && caller.body != body) {
       Report(caller, "response body is wrong");
@@ -194,7 +197,6 @@
   }
 
   // Also of answers that were broken off.
-
   void CheckStream(const Caller& caller) {
     const Caller::Events events = caller.ReadEvents();
     const int64_t last = caller.events_before + events.count;
@@ -214,7 +216,6 @@
   }
 
   // Of entries that only had planned stops.
-
   void CheckPlannedStop(const Caller& caller) {
     if (caller.IsPlain()) {
       if (m_upstreams->RunsOf(caller.id) > 0) {
@@ -231,7 +232,8 @@
     // With these faults alone, all engines are sound.
     const bool engines_are_sound =
         m_environment.is_calm && !m_environment.Plays("versions") &&
-        !m_environment.Plays("heads") && !m_environment.Plays("endless");
+        !m_environment.Plays("heads") && !m_environment.Plays("endless") &&
+        !m_environment.Plays("malformed");
     const bool late_in_stop = m_signals.Got(
         EntryName(caller.entry), "TERM", caller.ended_at - kStopTime,
         caller.ended_at - kStopTimeForAnswers);
@@ -296,7 +298,6 @@
   }
 
   // Of entries that ran all the time and always reached the service.
-
   void CheckStatement(const Upstreams::Statement& statement) {
     if (m_upstreams->StatingServiceHadFault()) return;
     std::map<int, TimePoint> told_at;
@@ -399,7 +400,6 @@
   }
 
   // Requests by way of entries that were killed or paused do not count.
-
   void CheckLimit(const Upstreams::Limited& limited) {
     const auto counts = [&](const emulation::RequestRate::Arrival& arrival) {
       const Caller* caller = m_callers.Find(arrival.request);
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "burdockhill/src/http/message_reader.h"
+#include "soak/malformed.h"
 
 namespace burdockhill::soak {
 
@@ -47,6 +48,11 @@
   connection->drops_all = connection->drops_all || dropped;
   if (connection->drops_all) return;
   if (m_heads_to_cut > 0 && connection->to_target && CutHead(id, bytes)) return;
+  if (m_malformed_to_send > 0 &&
+      (connection->to_target ? ForwardMalformed(id, bytes)
+                             : AnswerEarly(id, bytes))) {
+    return;
+  }
   if (m_repeats) RepeatAnswer(id, bytes);
   const TimePoint now = m_clock->Now();
   TimePoint at = std::max(now + m_delay, connection->forward_at);
@@ -68,12 +74,41 @@
   m_cut_resets = reset;
 }
 
-bool FaultProxy::CutHead(SocketId id, std::string_view bytes) {
-  const size_t end = bytes.find("\r\n\r\n");
-  if (!bytes.starts_with("HTTP/1.1 ") || end == bytes.npos ||
-      bytes.substr(0, end).find("X-Request-Id") == bytes.npos) {
+void FaultProxy::SendMalformed(int answers, uint64_t number) {
+  m_malformed_to_send = answers;
+  m_malformed_number = number;
+}
+
+bool FaultProxy::ForwardMalformed(SocketId id, std::string_view bytes) {
+  if (!BeginsAnswer(bytes)) return false;
+  --m_malformed_to_send;
+  ++m_malformed_count;
+  NoteFault();
+  Forward(id, MakeMalformed(bytes, m_malformed_number++));
+  return true;
+}
+
+bool FaultProxy::AnswerEarly(SocketId id, std::string_view bytes) {
+  constexpr size_t kMinUploadDigits = 7;  // 1 MB, more than sockets take.
+  if (!bytes.starts_with("POST ") ||
+      FieldOf(bytes, "Content-Length").size() < kMinUploadDigits) {
     return false;
   }
+  --m_malformed_to_send;
+  ++m_malformed_count;
+  NoteFault();
+  m_sockets->Write(id, BeginEarlyAnswer(FieldOf(bytes, "X-Request-Id")));
+  const SocketId target = m_connections.Find(id)->other;
+  m_connections.Erase(id);
+  m_connections.Erase(target);
+  m_sockets->Close(target, /*reset=*/true);
+  m_sockets->Close(id, /*reset=*/m_malformed_number++ % 2 == 0);
+  return true;
+}
+
+bool FaultProxy::CutHead(SocketId id, std::string_view bytes) {
+  if (!BeginsAnswer(bytes)) return false;
+  const size_t end = bytes.find("\r\n\r\n");
   --m_heads_to_cut;
   NoteFault();
   auto cut =
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -42,6 +42,11 @@
   // or resets the connections.
   void CutHeads(int answers, double position, bool reset);
   int CutCount() const { return m_cut_count; }
+  // Makes the next answers to requests malformed, or answers long uploads
+  // before they were read and closes or resets their connections. `number`
+  // chooses how.
+  void SendMalformed(int answers, uint64_t number);
+  int MalformedCount() const { return m_malformed_count; }
   // Whether it has ever injected a fault other than to repeat answers.
   bool HadFault() const { return m_fault_at != TimePoint::min(); }
   // Whether it has injected no such fault for so long.
@@ -85,6 +90,11 @@
   // Forwards a part of the answer's head and ends the connection. Returns false
   // if these bytes are no answer to a request.
   bool CutHead(SocketId id, std::string_view bytes);
+  // Forwards the answer in a malformed way. Returns false if these bytes are no
+  // answer to a request.
+  bool ForwardMalformed(SocketId id, std::string_view bytes);
+  // Answers a long upload. Returns false if these bytes do not begin one.
+  bool AnswerEarly(SocketId id, std::string_view bytes);
   // Keeps a complete answer, and repeats it before the answer to a request.
   void RepeatAnswer(SocketId id, std::string_view bytes);
   // Writes bytes received on `id` to the other side.
@@ -107,6 +117,9 @@
   double m_cut_position = 0;
   bool m_cut_resets = false;
   int m_cut_count = 0;
+  int m_malformed_to_send = 0;
+  uint64_t m_malformed_number = 0;
+  int m_malformed_count = 0;
   const EndlessAnswer* m_endless = nullptr;
   TimePoint m_endless_until{};
   Table<SocketId, Connection> m_connections;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -62,6 +62,7 @@
   int64_t HeldTokens() const;
   size_t HeldHandles() const { return m_handles.size(); }
   int CutHeadCount() const;
+  int MalformedCount() const;
   const Counts& EventCounts() const { return m_event_counts; }
   const std::vector<Limited>& LimitedUpstreams() const { return m_limited; }
   const std::vector<Statement>& Statements() const { return m_statements; }
