--- a/burdockhill/src/http/http_client.cc
+++ b/burdockhill/src/http/http_client.cc
@@ -244,7 +244,7 @@
   void FinishAtEndOfInput(ClientCallId id, Call* call) {
     call->reader.ConsumeEndOfInput();
     Report(id);
-    // Nothing was received.
+    // Ends the call if nothing was received, which is not reported.
     Fail(id);
   }
 
--- a/soak/malformed.cc
+++ b/soak/malformed.cc
@@ -17,13 +17,9 @@
     "HTTP/1.1 0503 X\r\nX-Not-Executed: 1",
     "HTTP/1.1 103 X\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK"};
 // Behind the other fields.
-constexpr std::string_view kFields[] = {"X A: b",
-                                        "X-A : b",
-                                        "X\x01"
-                                        "A: b",
-                                        " X-A: b",
-                                        "X-A: b\r\n c",
-                                        " Content-Length: 3",
+constexpr std::string_view kFields[] = {"X A: b",       "X-A : b",
+                                        "X\x01-A: b",   " X-A: b",
+                                        "X-A: b\r\n c", " Content-Length: 3",
                                         "X-A"};
 
 }  // namespace
--- a/tests/gateway_test_malformed_answers.cc
+++ b/tests/gateway_test_malformed_answers.cc
@@ -161,7 +161,8 @@
     const SocketId caller = entry.Post("/once/x");
     entry.m_sockets.Inject(
         entry.EstablishPlain(),
-        "HTTP/1.1 103 Early Hints\r\n" + fields + interim + answer);
+        std::string("HTTP/1.1 103 X\r\n").append(fields).append(interim) +
+            answer);
     entry.CheckNoSuccess(caller, interim);
   }
 }
--- a/tests/http_test_message_syntax.cc
+++ b/tests/http_test_message_syntax.cc
@@ -224,9 +224,10 @@
     const std::string interim = "HTTP/1.1 103 X\r\n" + fields;
     const std::string final_response =
         std::string("HTTP/1.1 200 OK\r\n") + kLength + "\r\nok";
+    const std::string interim_with_body = interim + "abc";
     CheckWhole(MessageKind::kResponse, interim + final_response);
     CheckFault(MessageKind::kResponse, Malformation::kStartLine,
-               interim + "abc" + final_response);
+               interim_with_body + final_response);
   }
 }
 
--- a/tests/malformed_heads.h
+++ b/tests/malformed_heads.h
@@ -74,16 +74,22 @@
 // Heads of malformed responses that have the given fields besides. The fields
 // are lines that end in CR LF.
 inline std::vector<MalformedHead> MalformedHeads(const std::string& fields) {
-  const std::string status = "HTTP/1.1 200 X\r\n";
   std::vector<MalformedHead> heads;
+  const auto add = [&](http::Malformation reason,
+                       const std::vector<std::string>& lines) {
+    std::string head;
+    for (const std::string& line : lines) head += line;
+    heads.push_back({reason, head + "\r\n"});
+  };
+  const std::string status = "HTTP/1.1 200 X\r\n";
   for (const MalformedHead& line : MalformedStatusLines()) {
-    heads.push_back({line.reason, line.text + fields + "\r\n"});
+    add(line.reason, {line.text, fields});
   }
   for (const MalformedHead& line : MalformedFieldLines(/*is_first=*/true)) {
-    heads.push_back({line.reason, status + line.text + fields + "\r\n"});
+    add(line.reason, {status, line.text, fields});
   }
   for (const MalformedHead& line : MalformedFieldLines(/*is_first=*/false)) {
-    heads.push_back({line.reason, status + fields + line.text + "\r\n"});
+    add(line.reason, {status, fields, line.text});
   }
   return heads;
 }
