--- a/burdockhill/src/http/message_syntax.h
+++ b/burdockhill/src/http/message_syntax.h
@@ -43,8 +43,9 @@
 // that begins with white space for a part of the field before it, and any two
 // characters for the end of a chunk.
 //
-// The standard lets a gateway discard a message with such a line: recipients
-// differ on whether it is a field of its own, and thus on where the body ends.
+// The standard lets a gateway discard a message with a field that is folded
+// over lines: recipients differ on whether such a line is a field of its own,
+// and thus on where the body ends.
 //
 // As the standard allows, a bare LF ends a line, empty lines may precede a
 // message, and a status may have more than one space before it. None of these
--- a/burdockhill/src/transport/sockets.h
+++ b/burdockhill/src/transport/sockets.h
@@ -27,9 +27,9 @@
   // An outgoing connection was established.
   virtual void OnConnected(SocketId /*id*/) {}
   virtual void OnBytes(SocketId id, std::string_view bytes) = 0;
-  // The remote side has closed its sending direction; it may still receive. Not
-  // called once the connection has failed: OnFailed is, after all bytes that
-  // had arrived.
+  // The remote side has closed its sending direction; it may still receive.
+  // OnFailed is called instead if the connection has failed, whichever call has
+  // met the error first.
   virtual void OnEndOfInput(SocketId id) = 0;
   // The operating system has accepted all bytes that were queued.
   virtual void OnOutputDrained(SocketId /*id*/) {}
--- a/tests/early_answer_server.h
+++ b/tests/early_answer_server.h
@@ -2,7 +2,6 @@
 #define BURDOCKHILL_TESTS_EARLY_ANSWER_SERVER_H_
 
 #include <CppUTest/TestHarness.h>
-#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +11,7 @@
 #include <utility>
 
 #include "burdockhill/transport.h"
+#include "tests/loopback_listener.h"
 
 namespace burdockhill {
 
@@ -39,20 +39,8 @@
       : m_answer(std::move(answer)),
         m_ending(ending),
         m_body_bytes(body_bytes),
-        m_listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    const int reuse = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-    constexpr int kReceiveBuffer = 16384;
-    setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer,
-               sizeof kReceiveBuffer);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    LONGS_EQUAL(0, bind(m_listener, reinterpret_cast<sockaddr*>(&address),
-                        sizeof address));
-    listen(m_listener, 1);
-  }
+        m_listener(ListenOnLoopback(port, /*backlog=*/1, SOCK_NONBLOCK,
+                                    kReceiveBuffer)) {}
   ~EarlyAnswerServer() {
     End(/*reset=*/false);
     close(m_listener);
@@ -154,6 +142,8 @@
     m_ended = true;
   }
 
+  static constexpr int kReceiveBuffer = 16384;
+
   SystemClock m_clock;
   std::string m_answer;
   Ending m_ending;
--- a/tests/endless_server.h
+++ b/tests/endless_server.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "burdockhill/transport.h"
+#include "tests/loopback_listener.h"
 
 namespace burdockhill {
 
@@ -23,18 +24,7 @@
   EndlessServer(uint16_t port, std::string start, std::string part)
       : m_start(std::move(start)),
         m_part(std::move(part)),
-        m_listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    const int reuse = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    LONGS_EQUAL(0, bind(m_listener, reinterpret_cast<sockaddr*>(&address),
-                        sizeof address));
-    constexpr int kBacklog = 64;
-    listen(m_listener, kBacklog);
-  }
+        m_listener(ListenOnLoopback(port, kBacklog, SOCK_NONBLOCK)) {}
   ~EndlessServer() {
     for (const Connection& connection : m_connections) close(connection.fd);
     close(m_listener);
@@ -66,6 +56,8 @@
   }
 
  private:
+  static constexpr int kBacklog = 64;
+
   struct Connection {
     int fd = -1;
     bool has_request = false;
--- a/tests/http_test_message_syntax.cc
+++ b/tests/http_test_message_syntax.cc
@@ -75,6 +75,19 @@
   std::vector<int> invalid_statuses;
 };
 
+// A server on in-memory sockets.
+struct StatusServer {
+  StatusServer() {
+    handler.server = &server;
+    server.Listen(*ParseAddress(kCallers));
+  }
+
+  emulation::SocketsFake sockets;
+  ManualClock clock;
+  StatusHandler handler;
+  Server server{&sockets, &clock, &handler};
+};
+
 }  // namespace
 
 TEST_GROUP(MessageSyntax){};
@@ -122,12 +135,7 @@
 
 // Guards against a request whose length an upstream sees elsewhere.
 TEST(MessageSyntax, RequestsWithMalformedFieldsAreRefused) {
-  emulation::SocketsFake sockets;
-  const ManualClock clock;
-  StatusHandler handler;
-  Server server(&sockets, &clock, &handler);
-  handler.server = &server;
-  server.Listen(*ParseAddress(kCallers));
+  StatusServer server;
   const std::string line = "POST / HTTP/1.1\r\n";
   const std::string fields = std::string("Host: h\r\n") + kLength;
   std::vector<MalformedHead> requests;
@@ -140,14 +148,14 @@
   }
   for (const MalformedHead& request : requests) {
     CheckFault(MessageKind::kRequest, request.reason, request.text + "ok");
-    const SocketId caller = sockets.ConnectAsCaller(kCallers);
-    sockets.Inject(caller, request.text + "ok");
-    const std::string output = sockets.DrainOutput(caller);
+    const SocketId caller = server.sockets.ConnectAsCaller(kCallers);
+    server.sockets.Inject(caller, request.text + "ok");
+    const std::string output = server.sockets.DrainOutput(caller);
     CHECK_TEXT(output.starts_with("HTTP/1.1 400 "), request.text.c_str());
     STRCMP_CONTAINS("Connection: close\r\n", output.c_str());
-    CHECK(sockets.GetConnection(caller).closed_gracefully);
+    CHECK(server.sockets.GetConnection(caller).closed_gracefully);
   }
-  LONGS_EQUAL(0, handler.requests);
+  LONGS_EQUAL(0, server.handler.requests);
 }
 
 TEST(MessageSyntax, OddFieldsAreAllowed) {
@@ -234,26 +242,21 @@
 // Guards against a status that is written whatever it is, wherever it comes
 // from.
 TEST(MessageSyntax, ServersReplaceStatusesOfNoFinalResponse) {
-  emulation::SocketsFake sockets;
-  const ManualClock clock;
-  StatusHandler handler;
-  Server server(&sockets, &clock, &handler);
-  handler.server = &server;
-  server.Listen(*ParseAddress(kCallers));
-  const SocketId caller = sockets.ConnectAsCaller(kCallers);
+  StatusServer server;
+  const SocketId caller = server.sockets.ConnectAsCaller(kCallers);
   for (const int status : {0, -1, 2, 20, 99, 100, 101, 199, 600, 999, 2000}) {
-    handler.status = status;
+    server.handler.status = status;
     for (const bool streams : {false, true}) {
-      handler.streams = streams;
-      sockets.Inject(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-      const std::string output = sockets.DrainOutput(caller);
+      server.handler.streams = streams;
+      server.sockets.Inject(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      const std::string output = server.sockets.DrainOutput(caller);
       STRCMP_CONTAINS("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n",
                       output.c_str());
       CHECK(output.find("body") == std::string::npos);
-      LONGS_EQUAL(status, handler.invalid_statuses.back());
+      LONGS_EQUAL(status, server.handler.invalid_statuses.back());
     }
   }
-  handler.status = 599;
-  sockets.Inject(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-  STRCMP_CONTAINS("HTTP/1.1 599 ", sockets.DrainOutput(caller).c_str());
+  server.handler.status = 599;
+  server.sockets.Inject(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 599 ", server.sockets.DrainOutput(caller).c_str());
 }
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "burdockhill/transport.h"
+#include "tests/loopback_listener.h"
 
 namespace burdockhill {
 
@@ -32,17 +33,7 @@
 class RawServer {
  public:
   explicit RawServer(uint16_t port)
-      : m_listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    const int reuse = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    LONGS_EQUAL(0, bind(m_listener, reinterpret_cast<sockaddr*>(&address),
-                        sizeof address));
-    listen(m_listener, 1);
-  }
+      : m_listener(ListenOnLoopback(port, /*backlog=*/1, /*flags=*/0)) {}
   ~RawServer() {
     if (m_answered >= 0) close(m_answered);
     close(m_listener);
