--- a/review/stand-3/stand.cc
+++ b/review/stand-3/stand.cc
@@ -723,22 +723,7 @@
   m_listener.Start(at, [this](int fd) { Pass(fd); });
 }
 
-bool Proxy::Forward(int to, const std::string& bytes, unsigned* seed) const {
-  constexpr size_t kPacketBytes = 1448;
-  constexpr double kRetransmissionS = 0.2;  // TCP's shortest.
-  if (m_loss == 0) return SendAll(to, bytes);
-  size_t sent = 0;
-  for (size_t at = 0; at < bytes.size(); at += kPacketBytes) {
-    if (rand_r(seed) >= m_loss * RAND_MAX) continue;
-    if (!SendAll(to, bytes.substr(sent, at - sent))) return false;
-    sent = at;
-    SleepFor(kRetransmissionS);
-  }
-  return SendAll(to, bytes.substr(sent));
-}
-
 void Proxy::Pass(int fd) {
-  unsigned seed = static_cast<unsigned>(getpid() * 1000 + fd);
   const int out = ConnectTo(m_to, 1);
   if (out < 0) return;
   const auto reset = std::make_shared<std::atomic<bool>>(false);
@@ -754,9 +739,8 @@
       if (wait[i].revents == 0) continue;
       char bytes[16384];
       const ssize_t size = recv(wait[i].fd, bytes, sizeof bytes, 0);
-      open = size > 0 &&
-             Forward(wait[1 - i].fd,
-                     std::string(bytes, static_cast<size_t>(size)), &seed);
+      open = size > 0 && SendAll(wait[1 - i].fd,
+                                 std::string(bytes, static_cast<size_t>(size)));
     }
   }
   {
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -264,14 +264,9 @@
   void Start(const Endpoint& at, const Endpoint& to);
   // Resets this part of the open channels; returns how many.
   int Reset(double share);
-  // Loses this part of the packets: what was lost, and all that follows it,
-  // arrives when TCP sends it once more.
-  void SetLoss(double share) { m_loss = share; }
 
  private:
   void Pass(int fd);
-  bool Forward(int to, const std::string& bytes, unsigned* seed) const;
-  double m_loss = 0;
   Endpoint m_to;
   std::mutex m_mutex;
   std::map<int, std::shared_ptr<std::atomic<bool>>> m_channels;
